Prove a dead member only while its data centre answers

Ruled out: waiting for the list alone; entries lapse behind a cut as they do after an end. Change: silence counts as an end only while other endpoints of the data centre answer this node, or when nothing listens at the address; every attempt that may have run counts against the route.

--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -118,16 +118,15 @@
         progress_ms
     }
 
-    /// Notes that the prompt of an attempt has been read.
-    pub fn started(&mut self, ticket: Ticket) {
-        let Some(running) = self.running.get_mut(&ticket) else {
-            return;
-        };
+    /// Notes that the prompt of an attempt has been read; returns its endpoint.
+    pub fn started(&mut self, ticket: Ticket) -> Option<VmName> {
+        let running = self.running.get_mut(&ticket)?;
         running.is_started = true;
         let unread = std::mem::take(&mut running.unread_tokens);
         if let Some(load) = self.loads.get_mut(&running.vm) {
             load.unread_tokens = load.unread_tokens.saturating_sub(unread);
         }
+        Some(running.vm.clone())
     }
 
     /// Ends an attempt; returns it if it was sent.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -49,8 +49,11 @@
 /// stall that the platform states, and is listed again by then.
 const HEADLESS_MS: u64 = 6_000;
 
-/// Silence of a head to several orders that, with its entry gone, counts as its end.
-const HEAD_SILENT_MS: u64 = 1_200;
+/// Orders without an answer that, with its entry gone, count as the end of a head.
+const HEAD_UNANSWERED: u32 = 2;
+
+/// Orders to an address where nothing listens that count as the end of a head.
+const HEAD_REFUSED: u32 = 2;
 
 /// How long endpoints that left the list are remembered, to reach the heads among them.
 const DEPARTED_MS: u64 = 30_000;
@@ -58,8 +61,9 @@
 /// Pause between two probes of an endpoint that is listed but was found dead.
 const DEAD_PROBE_MS: u64 = 1_000;
 
-/// An answer this old still shows that a data centre can be reached.
-const HEARD_MS: u64 = 2_000;
+/// An answer this old still shows that a data centre can be reached; a probe takes about as long,
+/// so a cut that began before the probe is not taken for the end of the endpoint.
+const HEARD_MS: u64 = 250;
 
 /// Marks probes among the orders that are not to be repeated at once.
 const PROBE: &str = "probe";
@@ -83,10 +87,12 @@
 struct Ending {
     head: VmName,
     members: BTreeSet<VmName>,
-    started_ms: u64,
     /// Whether running work ends first.
     is_graceful: bool,
-    unreachable: u32,
+    /// Orders to which the head's address said that nothing listens.
+    refused: u32,
+    /// Orders that the head left unanswered while others of its data centre answered.
+    unanswered: u32,
 }
 
 /// The planner's state; only what the list of endpoints does not show.
@@ -109,6 +115,9 @@
     grown: (usize, u64),
     /// When an endpoint of a data centre last answered this node.
     heard: BTreeMap<DataCentreName, u64>,
+    /// Endpoints that did not answer while nothing else of their data centre did, with the time:
+    /// this node may be the one cut off.
+    unclear: BTreeMap<VmName, u64>,
     pace: LoadPace,
 }
 
@@ -160,14 +169,26 @@
         self.heard.insert(data_centre.clone(), now_ms);
     }
 
-    /// Notes the answer to a probe.
-    pub fn probed(&mut self, now_ms: u64, vm: &VmName, is_alive: bool) {
-        match is_alive {
-            true => _ = self.dead.remove(vm),
-            false => _ = self.dead.insert(vm.clone(), now_ms),
+    /// Notes the answer to a probe. Silence proves the end of an endpoint only if others of its
+    /// data centre answer meanwhile.
+    pub fn probed(&mut self, now_ms: u64, endpoint: &Endpoint, is_alive: bool) {
+        let vm = &endpoint.vm;
+        self.unclear.remove(vm);
+        if is_alive {
+            self.dead.remove(vm);
+            self.heard(now_ms, &endpoint.data_centre);
+        } else if self.hears(now_ms, &endpoint.data_centre) {
+            self.dead.insert(vm.clone(), now_ms);
+        } else {
+            self.unclear.insert(vm.clone(), now_ms);
         }
     }
 
+    /// Whether an endpoint of a data centre answered this node just now.
+    fn hears(&self, now_ms: u64, data_centre: &DataCentreName) -> bool {
+        self.heard.get(data_centre).is_some_and(|heard_ms| now_ms < heard_ms + HEARD_MS)
+    }
+
     /// Returns a member of a group that is known to be dead.
     pub fn dead_member(&self, observed: &Observed) -> Option<VmName> {
         let mut members = observed.members.values();
@@ -175,7 +196,7 @@
     }
 
     /// Notes the answer to an order.
-    pub fn answered(&mut self, vm: &VmName, order: &Order, answer: OrderAnswer) {
+    pub fn answered(&mut self, now_ms: u64, vm: &VmName, order: &Order, answer: OrderAnswer) {
         match (order, answer) {
             (Order::Join { group, epoch, .. }, OrderAnswer::Accepted) => {
                 if let Some(forming) = self.forming.get_mut(group).filter(|f| f.epoch == *epoch) {
@@ -193,7 +214,14 @@
             }
             (Order::Leave { group, epoch }, OrderAnswer::Unreachable) => {
                 if let Some(ending) = self.ending.get_mut(&(group.clone(), *epoch)) {
-                    ending.unreachable += 1;
+                    ending.refused += 1;
+                }
+            }
+            (Order::Leave { group, epoch }, OrderAnswer::Unanswered) => {
+                let data_centre = self.departed.get(vm).map(|(_, head)| head.data_centre.clone());
+                let is_heard = data_centre.is_some_and(|name| self.hears(now_ms, &name));
+                if let Some(ending) = self.ending.get_mut(&(group.clone(), *epoch)) {
+                    ending.unanswered = if is_heard { ending.unanswered + 1 } else { 0 };
                 }
             }
             (Order::Stage { .. }, OrderAnswer::Refused | OrderAnswer::Unreachable) => {
@@ -218,6 +246,7 @@
         self.last_epoch = self.last_epoch.max(highest);
         let mut effects = Vec::new();
         self.probe_dead(view, &mut effects);
+        self.probe_unclear(view, &mut effects);
         self.follow_forming(view, &observed, &mut effects);
         self.review(view, &observed, &mut effects);
         self.follow_ending(view, &observed, &mut effects);
@@ -244,6 +273,19 @@
         count > 0 && view.now_ms >= self.grown.1 + LIST_SETTLED_MS
     }
 
+    /// Asks again where no answer proved nothing, once the data centre can be reached.
+    fn probe_unclear(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
+        let unclear = std::mem::take(&mut self.unclear);
+        for (vm, since_ms) in unclear {
+            let Some(endpoint) = view.directory.get(&vm) else { continue };
+            let heard_ms = self.heard.get(&endpoint.data_centre).copied().unwrap_or(0);
+            match heard_ms > since_ms {
+                true => effects.push(Effect::Probe { vm, address: endpoint.address }),
+                false => _ = self.unclear.insert(vm, since_ms),
+            }
+        }
+    }
+
     fn probe_dead(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
         self.dead.retain(|vm, _| view.directory.get(vm).is_some());
         for (vm, probed_ms) in &mut self.dead {
@@ -273,7 +315,7 @@
             if lost.is_some() || view.now_ms >= forming.started_ms + forming.limit_ms {
                 let reason = if lost.is_some() { "a member was lost" } else { "joining failed" };
                 self.forming.remove(&name);
-                self.end(view.now_ms, &key, &forming.members, false, reason, effects);
+                self.end(&key, &forming.members, false, reason, effects);
             } else if head_state == Some(MemberState::Open) {
                 self.forming.remove(&name);
                 effects.push(Effect::Note(Note::GroupServes { group: name, epoch: key.1 }));
@@ -336,17 +378,17 @@
             let is_draining = group.members.values().any(|m| m.is_draining);
             match head.state {
                 MemberState::Open if dead.is_some() => {
-                    self.end(view.now_ms, key, &members, false, "a member is dead", effects);
+                    self.end(key, &members, false, "a member is dead", effects);
                 }
-                MemberState::Open if view.suspicions.is_lost(&key.0, key.1) => {
-                    self.end(view.now_ms, key, &members, false, "it stands still", effects);
+                MemberState::Open if view.suspicions.stands_still(&key.0, key.1) => {
+                    self.end(key, &members, false, "it stands still", effects);
                 }
                 MemberState::Open if is_draining => {
-                    self.end(view.now_ms, key, &members, true, "a member leaves", effects);
+                    self.end(key, &members, true, "a member leaves", effects);
                 }
                 MemberState::Open | MemberState::Closing => {}
                 MemberState::Broken => {
-                    self.end(view.now_ms, key, &members, false, "it is broken", effects);
+                    self.end(key, &members, false, "it is broken", effects);
                 }
                 MemberState::Joining | MemberState::Ready
                     if group.is_complete(size) && dead.is_none() && !is_draining =>
@@ -354,7 +396,7 @@
                     self.adopt(view.now_ms, key, group, model.name.clone());
                 }
                 MemberState::Joining | MemberState::Ready => {
-                    self.end(view.now_ms, key, &members, false, "it is incomplete", effects);
+                    self.end(key, &members, false, "it is incomplete", effects);
                 }
             }
         }
@@ -387,10 +429,15 @@
             let membership = endpoint.membership.as_ref();
             membership.is_some_and(|m| m.rank == 0 && m.group == key.0 && m.epoch == key.1)
         };
-        let head = self.departed.values().find(|(_, e)| is_head(e)).map(|(_, e)| e.vm.clone());
+        let head = self.departed.values().find(|(_, e)| is_head(e)).map(|(_, e)| e.clone());
         if let Some(head) = head {
+            // An order that waits behind a cut would end a group that serves again by then.
+            if !self.hears(view.now_ms, &head.data_centre) {
+                return;
+            }
+            let head = head.vm;
             let members: Vec<VmName> = [head].into_iter().chain(members).collect();
-            self.end(view.now_ms, key, &members, false, "its head is gone", effects);
+            self.end(key, &members, false, "its head is gone", effects);
             return;
         }
         let since_ms = *self.headless.entry(key.clone()).or_insert(view.now_ms);
@@ -402,7 +449,6 @@
     /// Starts to end a group; the first member is its head.
     fn end(
         &mut self,
-        now_ms: u64,
         key: &Key,
         members: &[VmName],
         is_graceful: bool,
@@ -412,9 +458,9 @@
         let ending = Ending {
             head: members[0].clone(),
             members: members.iter().cloned().collect(),
-            started_ms: now_ms,
             is_graceful,
-            unreachable: 0,
+            refused: 0,
+            unanswered: 0,
         };
         self.ending.insert(key.clone(), ending);
         let (group, epoch) = key.clone();
@@ -430,15 +476,13 @@
         let keys: Vec<Key> = self.ending.keys().cloned().collect();
         for key in keys {
             let Some(ending) = self.ending.get(&key).cloned() else { continue };
-            let silent_ms = view.now_ms.saturating_sub(ending.started_ms);
             let is_listed = view.directory.get(&ending.head).is_some();
-            let is_refused = ending.unreachable >= 2;
-            let is_over = silent_ms >= HEAD_SILENT_MS && !is_listed;
-            if is_refused || (is_over && self.is_reached(view.now_ms, &ending)) {
+            let is_silent = !is_listed && ending.unanswered >= HEAD_UNANSWERED;
+            if is_silent || ending.refused >= HEAD_REFUSED {
                 self.release(&key);
                 continue;
             }
-            if is_over {
+            if !is_listed {
                 // An answer of another member shows that this node is not the one cut off.
                 self.probe_members(view, &ending, effects);
             }
@@ -456,13 +500,6 @@
         }
     }
 
-    /// Whether another endpoint of the data centre of a group answered lately.
-    fn is_reached(&self, now_ms: u64, ending: &Ending) -> bool {
-        let data_centre = self.departed.get(&ending.head).map(|(_, head)| &head.data_centre);
-        let heard_ms = data_centre.and_then(|data_centre| self.heard.get(data_centre));
-        heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + HEARD_MS)
-    }
-
     fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
         for vm in ending.members.iter().filter(|vm| **vm != ending.head) {
             let Some(endpoint) = view.directory.get(vm) else { continue };
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -51,13 +51,19 @@
             false => _ = fleet.evacuated.remove(&data_centre),
         },
         Event::Arrive(arrival) => arrive(fleet, now_ms, arrival, &mut effects),
-        Event::Started(ticket) => fleet.loads.started(ticket),
+        Event::Started(ticket) => {
+            if let Some(vm) = fleet.loads.started(ticket) {
+                heard(fleet, now_ms, &vm);
+            }
+        }
         Event::Ended { ticket, end } => ended(fleet, now_ms, ticket, end, &mut effects),
         Event::Peer(report) => peer(fleet, now_ms, report, &mut effects),
         Event::Probed { vm, is_alive } => {
-            fleet.planner.probed(now_ms, &vm, is_alive);
+            if let Some(endpoint) = fleet.directory.get(&vm) {
+                fleet.planner.probed(now_ms, endpoint, is_alive);
+            }
             if is_alive {
-                heard(fleet, now_ms, &vm);
+                fleet.suspicions.answers(&vm);
             } else {
                 lose_groups_of(fleet, now_ms, &vm, &mut effects);
             }
@@ -70,7 +76,7 @@
             if matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused) {
                 heard(fleet, now_ms, &vm);
             }
-            fleet.planner.answered(&vm, &order, answer);
+            fleet.planner.answered(now_ms, &vm, &order, answer);
         }
         Event::Tick => tick(fleet, now_ms, &mut effects),
     }
@@ -281,6 +287,7 @@
     };
     let Some((kind, _)) = fleet.kinds.remove(&ticket) else { return };
     if matches!(end, AttemptEnd::Answered | AttemptEnd::Failed) {
+        heard(fleet, now_ms, &running.vm);
         fleet.budget(now_ms, &kind.pool).succeeded(now_ms);
         fleet.waiting.answered(&kind, now_ms.saturating_sub(running.sent_ms));
     }
@@ -348,7 +355,7 @@
     member: Option<VmName>,
     effects: &mut Vec<Effect>,
 ) {
-    if !fleet.suspicions.lose(now_ms, head, key) {
+    if !fleet.suspicions.lose(now_ms, head, key, member.clone()) {
         return;
     }
     let tickets = fleet.loads.tickets_at(head);
@@ -383,6 +390,11 @@
     fleet
         .suspicions
         .expire(now_ms, |head| loads.get(head).is_some_and(|load| load.in_flight > 0));
+    for vm in fleet.suspicions.members_to_ask(now_ms) {
+        if let Some(endpoint) = fleet.directory.get(&vm) {
+            effects.push(Effect::Probe { vm, address: endpoint.address });
+        }
+    }
     let Some((_, engine)) = fleet.engine_pool() else { return };
     let engine: Engine = engine.clone();
     let heads: Vec<Server> =
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -28,6 +28,9 @@
 /// Pause between two rounds of probes of one group.
 const PROBE_AGAIN_MS: u64 = 500;
 
+/// Pause between two questions to a member whose group was found lost.
+const LOST_AGAIN_MS: u64 = 1_000;
+
 /// How long a group that was found lost is not used; its dissolution takes less.
 const LOST_MS: u64 = 6_000;
 
@@ -43,7 +46,7 @@
 }
 
 /// How far a suspicion is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Stage {
     /// Its members are asked whether they live.
     Asking {
@@ -54,6 +57,10 @@
     Lost {
         /// When it is forgotten.
         until_ms: u64,
+        /// The member that did not answer; `None` if all did, and it stood still all the same.
+        member: Option<VmName>,
+        /// When that member was last asked.
+        asked_ms: u64,
     },
 }
 
@@ -93,6 +100,14 @@
         })
     }
 
+    /// Whether a group was found lost although all its members answered.
+    pub fn stands_still(&self, group: &GroupName, epoch: u64) -> bool {
+        self.by_head.values().any(|s| {
+            let answers = matches!(s.stage, Stage::Lost { member: None, .. });
+            s.group == *group && s.epoch == epoch && answers
+        })
+    }
+
     /// Decides about a head whose answers have been silent for so long.
     pub fn silent(
         &mut self,
@@ -102,10 +117,10 @@
         silent_ms: u64,
     ) -> Step {
         let known = self.by_head.get(head).filter(|s| s.group == group.0 && s.epoch == group.1);
-        match known.map(|s| s.stage) {
+        match known.map(|s| &s.stage) {
             Some(Stage::Lost { .. }) => return Step::Nothing,
             _ if silent_ms >= LEAVE_SILENT_MS => return Step::Leave,
-            Some(Stage::Asking { asked_ms }) if now_ms < asked_ms + PROBE_AGAIN_MS => {
+            Some(Stage::Asking { asked_ms }) if now_ms < *asked_ms + PROBE_AGAIN_MS => {
                 return Step::Nothing;
             }
             _ => {}
@@ -124,20 +139,48 @@
     }
 
     /// Marks a group as lost; false if it was already.
-    pub fn lose(&mut self, now_ms: u64, head: &VmName, group: &(GroupName, u64)) -> bool {
+    pub fn lose(
+        &mut self,
+        now_ms: u64,
+        head: &VmName,
+        group: &(GroupName, u64),
+        member: Option<VmName>,
+    ) -> bool {
         if self.is_lost(&group.0, group.1) {
             return false;
         }
-        let stage = Stage::Lost { until_ms: now_ms + LOST_MS };
+        let stage = Stage::Lost { until_ms: now_ms + LOST_MS, member, asked_ms: now_ms };
         let suspicion = Suspicion { group: group.0.clone(), epoch: group.1, stage };
         self.by_head.insert(head.clone(), suspicion);
         true
     }
 
+    /// Trusts groups again whose lost member answers: a cut between this node and it has ended.
+    pub fn answers(&mut self, vm: &VmName) {
+        self.by_head.retain(|_, s| match &s.stage {
+            Stage::Lost { member, .. } => member.as_ref() != Some(vm),
+            Stage::Asking { .. } => true,
+        });
+    }
+
+    /// Returns the lost members that are to be asked again now.
+    pub fn members_to_ask(&mut self, now_ms: u64) -> Vec<VmName> {
+        let mut due = Vec::new();
+        for suspicion in self.by_head.values_mut() {
+            if let Stage::Lost { member: Some(member), asked_ms, .. } = &mut suspicion.stage
+                && now_ms >= *asked_ms + LOST_AGAIN_MS
+            {
+                *asked_ms = now_ms;
+                due.push(member.clone());
+            }
+        }
+        due
+    }
+
     /// Forgets suspicions that have ended, and those of heads without attempts of this node.
     pub fn expire(&mut self, now_ms: u64, has_attempts: impl Fn(&VmName) -> bool) {
-        self.by_head.retain(|head, s| match s.stage {
-            Stage::Lost { until_ms } => now_ms < until_ms,
+        self.by_head.retain(|head, s| match &s.stage {
+            Stage::Lost { until_ms, .. } => now_ms < *until_ms,
             Stage::Asking { .. } => has_attempts(head),
         });
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -39,10 +39,10 @@
         matches!(self, Self::Broken(_) | Self::Abandoned)
     }
 
-    /// Whether the failure used up one of the attempts that the route allows: an endpoint that was
-    /// lost does not count.
+    /// Whether the failure used up one of the attempts that the route allows: the endpoint may have
+    /// begun to run the request, also if its group was lost later.
     pub fn counts(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::TurnedAway(_))
+        self.may_have_run()
     }
 
     /// Returns the end of the attempt for the fleet.
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -27,8 +27,8 @@
 /// Most bytes of an answer that is collected before it is passed on.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Attempts that reached no endpoint and may be replaced, besides those that the route allows.
-const MAX_UNSENT: u32 = 3;
+/// Attempts that no endpoint ran and that may be replaced, besides those that the route allows.
+const MAX_UNRUN: u32 = 3;
 
 /// Answers a request with one body.
 pub(crate) async fn serve(shared: &Shared, request: &Request) -> Result<Response<Body>, Failure> {
@@ -36,12 +36,12 @@
     let mut failed: Option<EndpointAnswer> = None;
     let mut state = State::default();
     loop {
-        let arrival = request.arrival(&tried, state.sends > 0);
+        let arrival = request.arrival(&tried, state.sends + state.unrun > 0);
         let placed = match shared.hub.place(arrival).await {
             Ok(placed) => placed,
             Err(refusal) => {
                 shared.hub.metrics.refusal(refusal.reason.as_str());
-                return give_up(failed, &state, refusal.retry_after_ms);
+                return give_up(request, failed, &state, refusal.retry_after_ms);
             }
         };
         tried.push(placed.target.vm.clone());
@@ -60,16 +60,16 @@
         };
         shared.note_failure(request, &tried, &failure);
         state.may_have_run |= failure.may_have_run();
-        match failure {
-            AttemptFailure::NotSent(_) => state.unsent += 1,
-            _ => state.sends += 1,
+        match failure.counts() {
+            true => state.sends += 1,
+            false => state.unrun += 1,
         }
         let again = match state.may_have_run {
             true => may_repeat(request, &state),
             false => state.sends < request.route.max_attempts,
         };
-        if !again || state.unsent > MAX_UNSENT || request.left_ms() == 0 {
-            return give_up(failed, &state, shared.options.turned_away_retry_ms);
+        if !again || state.unrun > MAX_UNRUN || request.left_ms() == 0 {
+            return give_up(request, failed, &state, shared.options.turned_away_retry_ms);
         }
         shared.hub.metrics.repeat(failure.as_str());
     }
@@ -79,7 +79,7 @@
 #[derive(Debug, Default)]
 struct State {
     sends: u32,
-    unsent: u32,
+    unrun: u32,
     may_have_run: bool,
 }
 
@@ -88,6 +88,7 @@
 }
 
 fn give_up(
+    request: &Request,
     failed: Option<EndpointAnswer>,
     state: &State,
     retry_after_ms: u64,
@@ -95,6 +96,7 @@
     match failed {
         // The endpoint's own failure says more than the lack of another endpoint.
         Some(answer) => Ok(pass_on(answer)),
+        None if state.may_have_run && request.left_ms() == 0 => Err(Failure::TimedOut),
         None if state.may_have_run => Err(Failure::MayHaveRun),
         None => Err(Failure::NotRun { retry_after_ms }),
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -48,7 +48,8 @@
 /// Most bytes of one event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Attempts beyond those that the route allows, for endpoints that were lost or not reached.
+/// Attempts beyond those that the route allows, for endpoints that were not reached or turned the
+/// request away.
 const MAX_REPLACED: u32 = 3;
 
 /// Why a stream ends without its last event.
