Balance groups between models by use, and keep the other model staged

Change: the model whose groups are used most gets the next group; a pair gives its members to a group of four that lacks them while its own use stays below; before the first request every host stages the model that its group does not serve, so that a change of model takes 1 to 2 s. A group is suspected after 1.4 passes of silence instead of 2.5.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -62,7 +62,8 @@
         match change {
             ListChange::Put(endpoint) => {
                 self.lapsed.remove(&endpoint.vm);
-                let is_same = self.endpoints.get(&endpoint.vm).is_some_and(|e| is_same(e, &endpoint));
+                let is_same =
+                    self.endpoints.get(&endpoint.vm).is_some_and(|e| is_same(e, &endpoint));
                 if !is_same {
                     self.endpoints.insert(endpoint.vm.clone(), *endpoint);
                 }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -357,6 +357,17 @@
         /// Why.
         reason: &'static str,
     },
+    /// How much the groups of a model are used, as the planning node sees it.
+    Use {
+        /// The model.
+        model: ModelName,
+        /// Groups that serve or are being formed.
+        groups: u32,
+        /// Groups that the callers' work keeps busy.
+        busy_groups: f64,
+        /// Endpoints that belong to no group.
+        free_endpoints: u32,
+    },
     /// This node plans for the fleet, or no longer.
     Leading {
         /// The generation; `None` when the right ended.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -68,6 +68,9 @@
 /// Marks probes among the orders that are not to be repeated at once.
 const PROBE: &str = "probe";
 
+/// Pause between two notes of how much each model is used.
+const USE_NOTE_MS: u64 = 2_000;
+
 type Key = (GroupName, u64);
 
 /// A group that is being formed.
@@ -113,12 +116,15 @@
     /// Endpoints that were ordered to stage a model, with the time of the order.
     staging: BTreeMap<VmName, (ModelName, u64)>,
     grown: (usize, u64),
+    /// The model of the last group of each endpoint, which it serves again without a load.
+    last_model: BTreeMap<VmName, ModelName>,
     /// When an endpoint of a data centre last answered this node.
     heard: BTreeMap<DataCentreName, u64>,
     /// Endpoints that did not answer while nothing else of their data centre did, with the time:
     /// this node may be the one cut off.
     unclear: BTreeMap<VmName, u64>,
     pace: LoadPace,
+    use_noted_ms: u64,
 }
 
 /// What the planner reads.
@@ -487,9 +493,8 @@
                 self.probe_members(view, &ending, effects);
             }
             let head = observed.get(&key).and_then(Observed::head);
-            let still_works = head.is_some_and(|head| {
-                matches!(head.state, MemberState::Open | MemberState::Closing)
-            });
+            let still_works = head
+                .is_some_and(|head| matches!(head.state, MemberState::Open | MemberState::Closing));
             let (group, epoch) = key;
             let order = match ending.is_graceful && still_works {
                 true if head.is_some_and(|head| head.state == MemberState::Closing) => continue,
@@ -511,6 +516,19 @@
         }
     }
 
+    /// Remembers which model each endpoint served last.
+    fn remember_models(&mut self, view: &View<'_>, observed: &BTreeMap<Key, Observed>) {
+        self.last_model.retain(|vm, _| view.directory.get(vm).is_some());
+        for (key, group) in observed {
+            let Some(model) = formation::model_of(&key.0, view.engine) else { continue };
+            for member in group.members.values().filter(|m| m.state != MemberState::Joining) {
+                if self.last_model.get(&member.vm) != Some(&model.name) {
+                    self.last_model.insert(member.vm.clone(), model.name.clone());
+                }
+            }
+        }
+    }
+
     /// Makes the members of a group free, since its head serves it no more.
     fn release(&mut self, key: &Key) {
         if let Some(ending) = self.ending.remove(key) {
--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -1,4 +1,11 @@
-//! Which free endpoints form which group, and which are kept as spares.
+//! Which free endpoints form which group, which group gives its members to another model, and
+//! which weights are kept on which host.
+//!
+//! Answers losses that fall on one model harder than on the other. A group of four that loses one
+//! member leaves three that can do nothing alone; a pair of the other model has the fourth. An
+//! endpoint joins a model within a fraction of a second if its last group served it, and within
+//! one or two if its host has the weights, so each host keeps the weights of a model that its
+//! group does not serve.
 
 use std::collections::BTreeMap;
 
@@ -10,9 +17,11 @@
 use super::JOIN_MARGIN_MS;
 use super::Key;
 use super::Planner;
+use super::USE_NOTE_MS;
 use super::View;
 use crate::configuration::Model;
 use crate::endpoint::Endpoint;
+use crate::endpoint::MemberState;
 use crate::event::Effect;
 use crate::event::Note;
 use crate::event::Order;
@@ -22,54 +31,116 @@
 /// Busy groups of all models below which no request has come yet.
 const NO_DEMAND: f64 = 0.05;
 
-/// Use of a model's groups above which free endpoints form another one.
-const GROW_USE: f64 = 0.45;
+/// Use of a model's groups below which another group of it is not worth its orders.
+const IDLE_USE: f64 = 0.2;
 
-/// Use of a model's groups above which its last spares form a group.
-const SPARES_USE: f64 = 0.8;
+/// Use of a model's groups above which a group is formed although its members have to load.
+const LOAD_USE: f64 = 0.6;
+
+/// Use of a model's groups above which it takes endpoints from a model that is used less.
+const TAKE_USE: f64 = 0.55;
+
+/// A model gives endpoints only while its use, without them, stays below this part of the use of
+/// the model that takes them; otherwise the two would take turns.
+const GIVE_PART: f64 = 0.85;
 
 /// How long an order to stage is taken to be under way, beyond the time of the load.
 const STAGE_MARGIN_MS: u64 = 2_000;
 
-/// The free endpoints of one fabric domain.
+/// Stage orders of one round: each costs the planning node a connection.
+const STAGES_AT_ONCE: usize = 12;
+
+type DomainName = Option<FabricDomainName>;
+
+/// The endpoints of one fabric domain.
+#[derive(Default)]
 struct Domain<'a> {
     free: Vec<&'a Endpoint>,
-    /// Members of groups by model.
+    /// Endpoints that serve in a group, by model.
     members: BTreeMap<ModelName, u32>,
     endpoints: u32,
 }
 
-/// Forms groups of free endpoints and stages weights on the rest.
+/// The use of each model.
+struct Use<'a> {
+    view: &'a View<'a>,
+    groups: BTreeMap<ModelName, u32>,
+}
+
+impl Use<'_> {
+    fn has_demand(&self) -> bool {
+        let models = self.view.engine.models.iter();
+        let total: f64 = models.map(|m| self.view.demand.total(self.view.now_ms, &m.name)).sum();
+        total > NO_DEMAND
+    }
+
+    fn count(&self, model: &Model) -> u32 {
+        self.groups.get(&model.name).copied().unwrap_or(0)
+    }
+
+    /// Returns the part of the groups of a model that would be busy with `fewer` groups less.
+    fn without(&self, model: &Model, fewer: u32) -> f64 {
+        let groups = f64::from(self.count(model)) - f64::from(fewer);
+        self.view.demand.total(self.view.now_ms, &model.name) / groups.max(0.5)
+    }
+
+    fn of(&self, model: &Model) -> f64 {
+        self.without(model, 0)
+    }
+}
+
+/// Forms groups of free endpoints, makes room for others, and stages weights.
 pub(super) fn allocate(
     planner: &mut Planner,
     view: &View<'_>,
     observed: &BTreeMap<Key, Observed>,
     effects: &mut Vec<Effect>,
 ) {
-    let now_ms = view.now_ms;
     let staging_limit_ms = view.engine.models.iter().map(|m| m.load_ms).max().unwrap_or(0);
-    planner.staging.retain(|_, (_, since_ms)| now_ms < *since_ms + staging_limit_ms + STAGE_MARGIN_MS);
-    let mut groups = count_groups(planner, view, observed);
+    let limit_ms = staging_limit_ms + STAGE_MARGIN_MS;
+    planner.staging.retain(|_, (_, since_ms)| view.now_ms < *since_ms + limit_ms);
+    planner.remember_models(view, observed);
+    let mut usage = Use { view, groups: count_groups(planner, view, observed) };
     let mut domains = domains(planner, view, observed);
-    while let Some((name, model)) = next_group(view, &domains, &groups) {
-        let Some(domain) = domains.get_mut(&name) else { return };
-        let members = choose_members(domain, model);
-        let loads = members.iter().filter(|e| !e.staged.contains(&model.name)).count();
-        let has_demand = total_demand(view) > NO_DEMAND;
-        if has_demand && !planner.pace.take(now_ms, view.engine.loads_per_s, loads) {
-            return;
+    while let Some((name, model)) = next_group(planner, &usage, &domains) {
+        let Some(domain) = domains.get_mut(&name) else { break };
+        let members = choose_members(planner, domain, model);
+        let loads = members.iter().filter(|e| !is_fast(planner, e, model)).count();
+        let rate_per_s = view.engine.loads_per_s;
+        if usage.has_demand() && loads > 0 && !planner.pace.take(view.now_ms, rate_per_s, loads) {
+            break;
         }
         let names: Vec<VmName> = members.iter().map(|e| e.vm.clone()).collect();
         domain.free.retain(|endpoint| !names.contains(&endpoint.vm));
         *domain.members.entry(model.name.clone()).or_default() += model.size;
-        *groups.entry(model.name.clone()).or_default() += 1;
+        *usage.groups.entry(model.name.clone()).or_default() += 1;
         start(planner, view, model, names, loads > 0, effects);
     }
-    stage_spares(planner, view, &domains, effects);
+    note_use(planner, &usage, &domains, effects);
+    make_room(planner, &usage, &domains, observed, effects);
+    stage(planner, &usage, observed, effects);
 }
 
-fn total_demand(view: &View<'_>) -> f64 {
-    view.engine.models.iter().map(|model| view.demand.total(view.now_ms, &model.name)).sum()
+fn note_use(
+    planner: &mut Planner,
+    usage: &Use<'_>,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
+    effects: &mut Vec<Effect>,
+) {
+    let view = usage.view;
+    if view.now_ms < planner.use_noted_ms + USE_NOTE_MS {
+        return;
+    }
+    planner.use_noted_ms = view.now_ms;
+    let free_endpoints = domains.values().map(|domain| domain.free.len() as u32).sum();
+    effects.extend(view.engine.models.iter().map(|model| {
+        Effect::Note(Note::Use {
+            model: model.name.clone(),
+            groups: usage.count(model),
+            busy_groups: view.demand.total(view.now_ms, &model.name),
+            free_endpoints,
+        })
+    }));
 }
 
 /// Counts the groups that serve, form or may serve again.
@@ -100,11 +171,10 @@
     planner: &Planner,
     view: &View<'a>,
     observed: &BTreeMap<Key, Observed>,
-) -> BTreeMap<Option<FabricDomainName>, Domain<'a>> {
-    let mut domains: BTreeMap<Option<FabricDomainName>, Domain<'a>> = BTreeMap::new();
+) -> BTreeMap<DomainName, Domain<'a>> {
+    let mut domains: BTreeMap<DomainName, Domain<'a>> = BTreeMap::new();
     for endpoint in view.directory.iter().filter(|e| e.pool == *view.pool) {
-        let empty = || Domain { free: Vec::new(), members: BTreeMap::new(), endpoints: 0 };
-        let domain = domains.entry(endpoint.domain.clone()).or_insert_with(empty);
+        let domain = domains.entry(endpoint.domain.clone()).or_default();
         domain.endpoints += 1;
         if planner.is_free(view, endpoint) {
             domain.free.push(endpoint);
@@ -124,22 +194,27 @@
     domains
 }
 
+/// Whether an endpoint can serve a model without a load from the weight store.
+fn is_fast(planner: &Planner, endpoint: &Endpoint, model: &Model) -> bool {
+    planner.last_model.get(&endpoint.vm) == Some(&model.name)
+        || endpoint.staged.contains(&model.name)
+}
+
 /// Returns the domain and the model of the next group to form.
 fn next_group<'a>(
-    view: &View<'a>,
-    domains: &BTreeMap<Option<FabricDomainName>, Domain<'_>>,
-    groups: &BTreeMap<ModelName, u32>,
-) -> Option<(Option<FabricDomainName>, &'a Model)> {
-    let has_demand = total_demand(view) > NO_DEMAND;
-    let mut best: Option<(f64, Option<FabricDomainName>, &Model)> = None;
+    planner: &Planner,
+    usage: &Use<'a>,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
+) -> Option<(DomainName, &'a Model)> {
+    let mut best: Option<(f64, DomainName, &Model)> = None;
     for (name, domain) in domains {
-        for model in &view.engine.models {
+        for model in &usage.view.engine.models {
             if domain.free.len() < model.size as usize || model.size == 0 {
                 continue;
             }
-            let want = match has_demand {
-                true => want_by_use(view, domain, groups, model),
-                false => want_by_share(view, domain, model),
+            let want = match usage.has_demand() {
+                true => want_by_use(planner, usage, domain, model),
+                false => want_by_share(domain, model),
             };
             let Some(want) = want else { continue };
             if best.as_ref().is_none_or(|(most, ..)| want > *most) {
@@ -150,41 +225,39 @@
     best.map(|(_, name, model)| (name, model))
 }
 
-/// Before the first request, each model gets its share of a domain, and one endpoint for each
-/// model stays free: a staged spare ends the loss of a member in the time of a load from the host.
-fn want_by_share(view: &View<'_>, domain: &Domain<'_>, model: &Model) -> Option<f64> {
-    let spares = view.engine.models.len() as u32;
-    let usable = f64::from(domain.endpoints.saturating_sub(spares));
+/// Before the first request, each model gets its share of a domain.
+fn want_by_share(domain: &Domain<'_>, model: &Model) -> Option<f64> {
     let assigned = f64::from(domain.members.get(&model.name).copied().unwrap_or(0));
-    let missing = usable * model.share - assigned;
+    let missing = f64::from(domain.endpoints) * model.share - assigned;
     (missing >= f64::from(model.size) / 2.0).then_some(missing)
 }
 
-/// Under load, the model whose groups are used most gets the next group. A group whose members
-/// have the weights on their hosts serves ten times sooner, so it goes first at equal use.
+/// Under load, the model whose groups are used most gets the next group; one that needs loads
+/// waits unless it is used much, because a load takes longer than most losses last.
 fn want_by_use(
-    view: &View<'_>,
+    planner: &Planner,
+    usage: &Use<'_>,
     domain: &Domain<'_>,
-    groups: &BTreeMap<ModelName, u32>,
     model: &Model,
 ) -> Option<f64> {
-    let count = f64::from(groups.get(&model.name).copied().unwrap_or(0));
-    let used = view.demand.total(view.now_ms, &model.name) / count.max(0.5);
-    let free = domain.free.len() as u32;
-    let spares = view.engine.models.len() as u32;
-    let keeps_spares = free >= model.size + spares;
-    let is_wanted = used > SPARES_USE || (used > GROW_USE && keeps_spares);
-    let staged = domain.free.iter().filter(|e| e.staged.contains(&model.name)).count() as u32;
-    let staged_part = f64::from(staged.min(model.size)) / f64::from(model.size);
-    // A broken group of a domain is formed again from what its members have staged.
-    let reforms = staged >= model.size.saturating_sub(1) && model.size > 1 && used > GROW_USE;
-    (is_wanted || reforms).then_some(used * (0.5 + staged_part))
+    let used = usage.of(model);
+    let fast = domain.free.iter().filter(|e| is_fast(planner, e, model)).count();
+    let is_fast = fast >= model.size as usize;
+    let is_wanted = match is_fast {
+        true => used > IDLE_USE,
+        false => used > LOAD_USE,
+    };
+    // A group that serves within two seconds goes before one that has to load.
+    is_wanted.then_some(if is_fast { used + 1.0 } else { used })
 }
 
-/// Chooses members that have the weights on their hosts before others, and warm ones before cold.
-fn choose_members<'a>(domain: &Domain<'a>, model: &Model) -> Vec<&'a Endpoint> {
+/// Chooses members whose last group served the model, then those that have its weights staged.
+fn choose_members<'a>(planner: &Planner, domain: &Domain<'a>, model: &Model) -> Vec<&'a Endpoint> {
     let mut free = domain.free.clone();
-    free.sort_by_key(|e| (!e.staged.contains(&model.name), e.cold_until_ms, e.vm.clone()));
+    free.sort_by_key(|e| {
+        let was_last = planner.last_model.get(&e.vm) == Some(&model.name);
+        (!was_last, !e.staged.contains(&model.name), e.cold_until_ms, e.vm.clone())
+    });
     free.truncate(model.size as usize);
     free
 }
@@ -214,48 +287,102 @@
     planner.order_joins(view, &name, &forming, None, effects);
 }
 
-/// Stages each model on one free endpoint of a domain, so that the loss of a member costs a load
-/// from the host and not one from the weight store.
-fn stage_spares(
+/// Ends groups of a model that is used little, in a domain where a model that is used much lacks
+/// only their endpoints.
+fn make_room(
     planner: &mut Planner,
-    view: &View<'_>,
-    domains: &BTreeMap<Option<FabricDomainName>, Domain<'_>>,
+    usage: &Use<'_>,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
+    observed: &BTreeMap<Key, Observed>,
     effects: &mut Vec<Effect>,
 ) {
-    let has_demand = total_demand(view) > NO_DEMAND;
-    for domain in domains.values() {
-        let mut models: Vec<&Model> = view.engine.models.iter().collect();
-        // The larger group is lost more often, and needs more endpoints of one kind.
-        models.sort_by_key(|model| std::cmp::Reverse(model.size));
-        for model in models {
-            let is_served = domain.members.get(&model.name).is_some_and(|count| *count > 0);
-            let has_spare = domain.free.iter().any(|e| {
-                let staging = planner.staging.get(&e.vm).is_some_and(|(m, _)| *m == model.name);
-                staging || e.staged.contains(&model.name)
-            });
-            if !is_served || has_spare {
-                continue;
-            }
-            let is_idle = |e: &&&Endpoint| {
-                !planner.staging.contains_key(&e.vm) && keeps_others(domain, e, view)
-            };
-            let Some(spare) = domain.free.iter().find(is_idle) else { continue };
-            let rate_per_s = view.engine.loads_per_s;
-            if has_demand && !planner.pace.take(view.now_ms, rate_per_s, 1) {
+    // One exchange at a time: its effect on the use has to show first.
+    if !usage.has_demand() || planner.ending.values().any(|ending| ending.is_graceful) {
+        return;
+    }
+    let view = usage.view;
+    let mut models: Vec<&Model> = view.engine.models.iter().collect();
+    models.sort_by(|a, b| usage.of(b).total_cmp(&usage.of(a)));
+    for taker in models.iter().filter(|model| usage.of(model) > TAKE_USE) {
+        for giver in models.iter().filter(|model| model.name != taker.name && model.size > 0) {
+            for (name, domain) in domains {
+                let free = domain.free.iter().filter(|e| is_fast(planner, e, taker)).count() as u32;
+                if free == 0 || free >= taker.size {
+                    continue;
+                }
+                let needed = (taker.size - free).div_ceil(giver.size);
+                if usage.without(giver, needed) > GIVE_PART * usage.of(taker) {
+                    continue;
+                }
+                let groups = givers(planner, view, observed, name, giver, taker);
+                if groups.len() < needed as usize {
+                    continue;
+                }
+                for key in groups.into_iter().take(needed as usize) {
+                    let Some(group) = observed.get(&key) else { continue };
+                    let members: Vec<VmName> =
+                        group.members.values().map(|m| m.vm.clone()).collect();
+                    planner.end(&key, &members, true, "another model needs its members", effects);
+                }
                 return;
             }
-            planner.staging.insert(spare.vm.clone(), (model.name.clone(), view.now_ms));
-            let order = Order::Stage { model: model.name.clone() };
-            planner.order(view, &spare.vm, order, effects);
         }
     }
 }
 
-/// Whether no model loses its only staged spare if this endpoint stages another one.
-fn keeps_others(domain: &Domain<'_>, spare: &Endpoint, view: &View<'_>) -> bool {
-    spare.staged.iter().all(|name| {
-        let served = view.engine.models.iter().any(|m| m.name == *name)
-            && domain.members.get(name).is_some_and(|count| *count > 0);
-        !served || domain.free.iter().filter(|e| e.staged.contains(name)).count() > 1
-    })
+/// Returns the open groups of a domain whose members could join another model without a load.
+fn givers(
+    planner: &Planner,
+    view: &View<'_>,
+    observed: &BTreeMap<Key, Observed>,
+    domain: &DomainName,
+    giver: &Model,
+    taker: &Model,
+) -> Vec<Key> {
+    let is_giver = |(key, group): &(&Key, &Observed)| {
+        let is_open = group.head().is_some_and(|head| head.state == MemberState::Open);
+        let members = group.members.values().filter_map(|m| view.directory.get(&m.vm));
+        group.domain == *domain
+            && is_open
+            && group.is_complete(giver.size)
+            && !planner.ending.contains_key(*key)
+            && formation::model_of(&key.0, view.engine).is_some_and(|m| m.name == giver.name)
+            && members.filter(|e| is_fast(planner, e, taker)).count() >= giver.size as usize
+    };
+    observed.iter().filter(is_giver).map(|(key, _)| key.clone()).collect()
+}
+
+/// Keeps on each host the weights of the model that its group does not serve, so that it can take
+/// part in either; before the first request, when loads cost a tenth and none of the rate.
+fn stage(
+    planner: &mut Planner,
+    usage: &Use<'_>,
+    observed: &BTreeMap<Key, Observed>,
+    effects: &mut Vec<Effect>,
+) {
+    let view = usage.view;
+    if usage.has_demand() {
+        return;
+    }
+    let mut orders: Vec<(VmName, ModelName)> = Vec::new();
+    for endpoint in view.directory.iter().filter(|e| e.pool == *view.pool) {
+        if planner.staging.contains_key(&endpoint.vm) || endpoint.is_draining {
+            continue;
+        }
+        let key = endpoint.membership.as_ref().map(|m| (m.group.clone(), m.epoch));
+        let group = key.and_then(|key| Some((observed.get(&key)?, key)));
+        let Some((group, key)) = group else { continue };
+        let is_open = group.head().is_some_and(|head| head.state == MemberState::Open);
+        let Some(served) = formation::model_of(&key.0, view.engine) else { continue };
+        let others = view.engine.models.iter().filter(|model| model.name != served.name);
+        // Only one other model has its weights kept; the largest group is the hardest to complete.
+        let Some(other) = others.max_by_key(|model| model.size) else { continue };
+        if is_open && !endpoint.staged.contains(&other.name) {
+            orders.push((endpoint.vm.clone(), other.name.clone()));
+        }
+    }
+    for (vm, model) in orders.into_iter().take(STAGES_AT_ONCE) {
+        planner.staging.insert(vm.clone(), (model.clone(), view.now_ms));
+        planner.order(view, &vm, Order::Stage { model }, effects);
+    }
 }
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -327,17 +327,11 @@
     let members = fleet.directory.iter().filter(|endpoint| {
         endpoint.membership.as_ref().is_some_and(|m| m.group == key.0 && m.epoch == key.1)
     });
-    effects
-        .extend(members.map(|e| Effect::Probe { vm: e.vm.clone(), address: e.address }));
+    effects.extend(members.map(|e| Effect::Probe { vm: e.vm.clone(), address: e.address }));
 }
 
 /// Gives up every group that an endpoint belongs to which does not answer.
-fn lose_groups_of(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    vm: &VmName,
-    effects: &mut Vec<Effect>,
-) {
+fn lose_groups_of(fleet: &mut Fleet, now_ms: u64, vm: &VmName, effects: &mut Vec<Effect>) {
     let observed = formation::observe(&fleet.directory);
     for (key, group) in observed {
         let is_member = group.members.values().any(|member| member.vm == *vm);
@@ -387,9 +381,7 @@
 /// Looks for heads whose answers have all fallen silent.
 fn watch_heads(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let loads = &fleet.loads;
-    fleet
-        .suspicions
-        .expire(now_ms, |head| loads.get(head).is_some_and(|load| load.in_flight > 0));
+    fleet.suspicions.expire(now_ms, |head| loads.get(head).is_some_and(|load| load.in_flight > 0));
     for vm in fleet.suspicions.members_to_ask(now_ms) {
         if let Some(endpoint) = fleet.directory.get(&vm) {
             effects.push(Effect::Probe { vm, address: endpoint.address });
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -13,14 +13,15 @@
 use crate::configuration::Engine;
 use crate::placement;
 
-/// Shortest silence that counts: a few passes of a small group, above the jitter of the network.
-const SILENCE_MIN_MS: f64 = 250.0;
+/// Shortest silence that counts: a few passes of a small group, above the jitter of the network. A
+/// wrong suspicion costs a probe for each member, a late one costs every answer of the group.
+const SILENCE_MIN_MS: f64 = 160.0;
 
 /// Passes without an event that count as silence.
-const SILENT_PASSES: f64 = 2.5;
+const SILENT_PASSES: f64 = 1.4;
 
 /// Time added for the network and for late timers.
-const SILENCE_MARGIN_MS: f64 = 100.0;
+const SILENCE_MARGIN_MS: f64 = 60.0;
 
 /// Silence after which a group is left although all its members answer.
 const LEAVE_SILENT_MS: u64 = 2_000;
@@ -95,9 +96,9 @@
 
     /// Whether a group was found lost.
     pub fn is_lost(&self, group: &GroupName, epoch: u64) -> bool {
-        self.by_head.values().any(|s| {
-            s.group == *group && s.epoch == epoch && matches!(s.stage, Stage::Lost { .. })
-        })
+        self.by_head
+            .values()
+            .any(|s| s.group == *group && s.epoch == epoch && matches!(s.stage, Stage::Lost { .. }))
     }
 
     /// Whether a group was found lost although all its members answered.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -122,7 +122,8 @@
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run) {
         return Err(AttemptFailure::TurnedAway(status));
     }
-    let is_sealed = headers.contains_key(&dialect.seal) && headers.contains_key(&dialect.request_id);
+    let is_sealed =
+        headers.contains_key(&dialect.seal) && headers.contains_key(&dialect.request_id);
     let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
     if (status.is_success() && !is_sealed) || is_encoded {
         return Err(AttemptFailure::Broken("the answer is not the endpoint's own".to_owned()));
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -297,4 +297,3 @@
         }
     }
 }
-
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -141,10 +141,10 @@
         model: model.to_string(),
         busy_groups: *busy_groups,
     });
-    let lost = report.lost.iter().map(|(group, epoch)| LostGroup {
-        group: group.to_string(),
-        epoch: *epoch,
-    });
+    let lost = report
+        .lost
+        .iter()
+        .map(|(group, epoch)| LostGroup { group: group.to_string(), epoch: *epoch });
     let report = Report {
         node: report.node.to_string(),
         loads: loads.collect(),
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -80,6 +80,11 @@
             info!(log, "endpoint is gone"; "kind" => kind, "vm" => %vm, "reason" => reason,
                 "dropped_lines" => dropped);
         }
+        Note::Use { model, groups, busy_groups, free_endpoints } => {
+            info!(log, "use of a model"; "kind" => kind, "model" => %model, "groups" => groups,
+                "busy_groups" => busy_groups, "free_endpoints" => free_endpoints,
+                "dropped_lines" => dropped);
+        }
         Note::Leading { generation } => {
             info!(log, "right to plan changed"; "kind" => kind, "generation" => generation,
                 "dropped_lines" => dropped);
@@ -97,6 +102,7 @@
         Note::GroupDissolving { .. } => "group_dissolving",
         Note::Configuration { .. } => "configuration",
         Note::EndpointGone { .. } => "endpoint_gone",
+        Note::Use { .. } => "use",
         Note::Leading { .. } => "leading",
     }
 }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -148,9 +148,8 @@
     let (mut head, mut body) = response.into_parts();
     let mut whole = BytesMut::new();
     while let Some(frame) = conn.driver.drive(body.frame()).await {
-        let frame = frame.map_err(|error| {
-            AttemptFailure::Broken(format!("the answer broke off: {error}"))
-        })?;
+        let frame = frame
+            .map_err(|error| AttemptFailure::Broken(format!("the answer broke off: {error}")))?;
         let Ok(data) = frame.into_data() else { continue };
         if whole.len() + data.len() > MAX_ANSWER_BYTES {
             return Err(AttemptFailure::Broken("the answer exceeds the limit".to_owned()));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -213,9 +213,7 @@
         }
         Err(Stop::Failed(match self.may_have_run {
             true => Failure::MayHaveRun,
-            false => {
-                Failure::NotRun { retry_after_ms: self.shared.options.turned_away_retry_ms }
-            }
+            false => Failure::NotRun { retry_after_ms: self.shared.options.turned_away_retry_ms },
         }))
     }
 
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -476,9 +476,9 @@
         let request = stream_request(Method::GET, &path, self.address);
         let sent = self.shared.client.send_fresh(self.address, request, self.silence).await;
         let (conn, response) = sent.map_err(|e| match e {
-            SendError::NotWritten(cause) | SendError::Refused(cause) | SendError::Written(cause) => {
-                cause
-            }
+            SendError::NotWritten(cause)
+            | SendError::Refused(cause)
+            | SendError::Written(cause) => cause,
             SendError::Silent | SendError::Forbidden => "no answer".to_owned(),
         })?;
         let same = response.headers().get(STREAM_ID).is_some_and(|v| v.as_bytes() == id.as_bytes());
