Replay losses, cuts and bursts against the fleet's decisions

Change: a world of 60 endpoints in virtual time carries out orders as the platform states, late and lost ones included; suites for groups, placement, waiting and the list.

--- /dev/null
+++ b/crates/fleet/tests/fleet/load.rs
@@ -0,0 +1,125 @@
+//! Where requests run.
+
+use std::sync::Arc;
+
+use balsam_fleet::Endpoint;
+use balsam_fleet::Event;
+use balsam_fleet::Fleet;
+use balsam_fleet::directory::ListChange;
+use balsam_fleet::event::AttemptEnd;
+use balsam_fleet::event::PeerLoad;
+use balsam_fleet::event::PeerReport;
+use balsam_fleet::reduce;
+use balsam_types::PoolName;
+
+use crate::support;
+use crate::support::arrival;
+use crate::support::dispatched;
+use crate::support::vm;
+
+fn fleet(endpoints: Vec<Endpoint>) -> Fleet {
+    let mut fleet = support::fleet("node");
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(endpoints)));
+    fleet
+}
+
+/// Nodes that count only their own requests all choose the same group.
+#[test]
+fn the_requests_of_other_nodes_count() {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let report = PeerReport {
+        node: Arc::from("other"),
+        loads: vec![PeerLoad { vm: vm("one"), in_flight: 12, unread_tokens: 0 }],
+        demand: Vec::new(),
+        lost: Vec::new(),
+    };
+    reduce(&mut fleet, 1_000, Event::Peer(report));
+    for ticket in 1..=8 {
+        let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(ticket, 1_010)));
+        assert_eq!(dispatched(&effects, ticket), Some(vm("two")));
+        reduce(&mut fleet, 1_010, Event::Started(ticket));
+    }
+}
+
+/// A report of a node that stopped must not hold places for ever.
+#[test]
+fn the_report_of_a_silent_node_is_forgotten() {
+    let mut fleet = fleet(vec![support::head("one", 1)]);
+    let report = PeerReport {
+        node: Arc::from("other"),
+        loads: vec![PeerLoad { vm: vm("one"), in_flight: 17, unread_tokens: 0 }],
+        demand: Vec::new(),
+        lost: Vec::new(),
+    };
+    reduce(&mut fleet, 1_000, Event::Peer(report));
+    let effects = reduce(&mut fleet, 1_100, Event::Arrive(arrival(1, 1_100)));
+    assert_eq!(dispatched(&effects, 1), None, "every place is taken");
+    let effects = reduce(&mut fleet, 2_100, Event::Arrive(arrival(2, 2_100)));
+    assert_eq!(dispatched(&effects, 2), Some(vm("one")));
+}
+
+/// A group whose answers have all fallen silent gets no new work, and its members are asked.
+#[test]
+fn a_silent_group_is_left_once_a_member_does_not_answer() {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let effects = reduce(&mut fleet, 2_000, Event::Arrive(arrival(1, 2_000)));
+    let head = dispatched(&effects, 1).unwrap();
+    let asked = |effects: &[balsam_fleet::Effect]| {
+        effects.iter().any(|e| matches!(e, balsam_fleet::Effect::Probe { vm, .. } if *vm == head))
+    };
+    assert!(!asked(&reduce(&mut fleet, 2_100, Event::Tick)), "one pass is no silence");
+    assert!(asked(&reduce(&mut fleet, 2_400, Event::Tick)));
+    let effects = reduce(&mut fleet, 2_400, Event::Arrive(arrival(2, 2_400)));
+    assert_ne!(dispatched(&effects, 2), Some(head.clone()));
+    let probed = Event::Probed { vm: head, is_alive: false };
+    let effects = reduce(&mut fleet, 2_600, probed);
+    let is_abandoned =
+        |e: &balsam_fleet::Effect| matches!(e, balsam_fleet::Effect::Abandon { ticket: 1 });
+    assert!(effects.iter().any(is_abandoned), "its request moves on");
+}
+
+/// An endpoint of a plain service that cannot be reached is avoided while others can.
+#[test]
+fn an_unreachable_endpoint_is_tried_last() {
+    let plain = |name: &str, port| Endpoint {
+        pool: PoolName::try_from("ledger").unwrap(),
+        ..support::endpoint(name, port)
+    };
+    let mut fleet = fleet(vec![plain("one", 1), plain("two", 2)]);
+    let request = |ticket| balsam_fleet::Arrival {
+        pool: PoolName::try_from("ledger").unwrap(),
+        model: None,
+        ..arrival(ticket, 1_000)
+    };
+    let effects = reduce(&mut fleet, 1_000, Event::Arrive(request(1)));
+    let first = dispatched(&effects, 1).unwrap();
+    let end = AttemptEnd::Unreachable;
+    reduce(&mut fleet, 1_010, Event::Ended { ticket: 1, end });
+    for ticket in 2..8 {
+        let effects = reduce(&mut fleet, 1_020, Event::Arrive(request(ticket)));
+        assert_ne!(dispatched(&effects, ticket), Some(first.clone()));
+    }
+}
+
+/// Operators take a data centre out; nothing goes there from the next request on.
+#[test]
+fn an_evacuated_data_centre_gets_nothing() {
+    let mut fleet = fleet(vec![support::head("one", 1)]);
+    let out = |is_out| Event::Evacuation { data_centre: support::data_centre("a"), is_out };
+    reduce(&mut fleet, 1_000, out(true));
+    let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(1, 1_010)));
+    assert_eq!(dispatched(&effects, 1), None);
+    reduce(&mut fleet, 1_020, out(false));
+    let effects = reduce(&mut fleet, 1_030, Event::Arrive(arrival(2, 1_030)));
+    assert!(dispatched(&effects, 2).is_some() || dispatched(&effects, 1).is_some());
+}
+
+/// A configuration that is read late must not take the place of a newer one.
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let mut fleet = fleet(Vec::new());
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(9).into()));
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(7).into()));
+    assert_eq!(fleet.configuration.as_ref().map(|c| c.version), Some(9));
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/waiting.rs
@@ -0,0 +1,90 @@
+//! How requests wait, and when they are turned away.
+
+use balsam_fleet::Effect;
+use balsam_fleet::Event;
+use balsam_fleet::Fleet;
+use balsam_fleet::directory::ListChange;
+use balsam_fleet::event::AttemptEnd;
+use balsam_fleet::reduce;
+
+use crate::support;
+use crate::support::arrival;
+use crate::support::dispatched;
+
+fn full_group() -> Fleet {
+    let mut fleet = support::fleet("node");
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(vec![support::head("one", 1)])));
+    for ticket in 1..=17 {
+        let effects = reduce(&mut fleet, 1_000, Event::Arrive(arrival(ticket, 1_000)));
+        assert!(dispatched(&effects, ticket).is_some());
+    }
+    fleet
+}
+
+fn refused(effects: &[Effect], ticket: u64) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { ticket: refused, refusal } if *refused == ticket => {
+            Some(refusal.retry_after_ms)
+        }
+        _ => None,
+    })
+}
+
+/// A burst of 1.5 to 3 times must not fill a queue that nobody in it can live to see the end of.
+#[test]
+fn a_burst_is_refused_at_once_with_a_time_to_come_back() {
+    let mut fleet = full_group();
+    let mut waits = 0;
+    for ticket in 100..150 {
+        let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(ticket, 1_010)));
+        match refused(&effects, ticket) {
+            Some(retry_after_ms) => assert!((200..=2_000).contains(&retry_after_ms)),
+            None => waits += 1,
+        }
+    }
+    assert!(waits > 0, "a few wait for the next places");
+    assert!(waits < 10, "{waits} wait for places that come one each 40 ms");
+}
+
+/// Places go to requests that can still meet their target before those that cannot.
+#[test]
+fn a_place_goes_to_a_request_within_its_target() {
+    let mut fleet = full_group();
+    let late = balsam_fleet::Arrival { target_at_ms: 1_100, ..arrival(100, 1_010) };
+    reduce(&mut fleet, 1_010, Event::Arrive(late));
+    reduce(&mut fleet, 1_020, Event::Arrive(arrival(101, 1_020)));
+    let end = AttemptEnd::Answered;
+    let effects = reduce(&mut fleet, 1_150, Event::Ended { ticket: 1, end });
+    assert!(dispatched(&effects, 101).is_some());
+}
+
+/// A caller that leaves while it waits must not get the next place.
+#[test]
+fn a_caller_that_leaves_gives_its_turn_away() {
+    let mut fleet = full_group();
+    reduce(&mut fleet, 1_010, Event::Arrive(arrival(100, 1_010)));
+    reduce(&mut fleet, 1_020, Event::Arrive(arrival(101, 1_020)));
+    let end = AttemptEnd::Cancelled;
+    reduce(&mut fleet, 1_030, Event::Ended { ticket: 100, end });
+    let end = AttemptEnd::Answered;
+    let effects = reduce(&mut fleet, 1_050, Event::Ended { ticket: 1, end });
+    assert_eq!(dispatched(&effects, 100), None);
+    assert!(dispatched(&effects, 101).is_some());
+}
+
+/// Repeats are paid from a budget; without it a failing pool doubles its own load.
+#[test]
+fn repeats_end_with_their_budget() {
+    let mut fleet = support::fleet("node");
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(vec![support::head("one", 1)])));
+    let mut sent = 0;
+    for ticket in 1..=500 {
+        let repeat = balsam_fleet::Arrival { is_repeat: true, ..arrival(ticket, 1_000) };
+        let effects = reduce(&mut fleet, 1_000, Event::Arrive(repeat));
+        sent += u32::from(dispatched(&effects, ticket).is_some());
+        reduce(&mut fleet, 1_000, Event::Ended { ticket, end: AttemptEnd::Broken });
+    }
+    assert!((1..=100).contains(&sent), "{sent} repeats for a slack of 100 over all nodes");
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/world.rs
@@ -0,0 +1,438 @@
+//! Endpoints that carry out orders as the platform states, with the faults that it lists.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use balsam_fleet::Effect;
+use balsam_fleet::Endpoint;
+use balsam_fleet::Event;
+use balsam_fleet::Fleet;
+use balsam_fleet::Order;
+use balsam_fleet::directory::ListChange;
+use balsam_fleet::endpoint::MemberState;
+use balsam_fleet::endpoint::Membership;
+use balsam_fleet::event::Leadership;
+use balsam_fleet::event::OrderAnswer;
+use balsam_fleet::reduce;
+use balsam_types::DataCentreName;
+use balsam_types::FabricDomainName;
+use balsam_types::GroupName;
+use balsam_types::ModelName;
+use balsam_types::VmName;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::support;
+
+pub const STEP_MS: u64 = 50;
+
+/// Time after which a silent endpoint leaves the list.
+const LAPSE_MS: u64 = 3_600;
+
+/// Time after which an unanswered call is given up.
+const CALL_MS: u64 = 400;
+
+/// Part of the data centres' delay of an order and its answer.
+const ORDER_MS: u64 = 10;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    Up,
+    /// Silent, and never back.
+    Dead,
+}
+
+pub struct Host {
+    pub entry: Endpoint,
+    pub life: Life,
+    silent_since_ms: Option<u64>,
+    /// Whether the planner cannot reach it and the list does not show it.
+    pub is_cut: bool,
+    members: Vec<VmName>,
+    model: Option<ModelName>,
+    last_model: Option<ModelName>,
+    becomes: Option<(u64, MemberState)>,
+    highest_epoch: u64,
+    /// Groups and epochs in which it was ready.
+    was_ready: BTreeSet<(GroupName, u64)>,
+}
+
+struct Pending {
+    at_ms: u64,
+    vm: VmName,
+    order: Order,
+    answers: bool,
+}
+
+pub struct World {
+    pub now_ms: u64,
+    pub hosts: BTreeMap<VmName, Host>,
+    pub fleet: Fleet,
+    pub random: ChaCha8Rng,
+    pub late_share: f64,
+    pub lost_share: f64,
+    pub violations: Vec<String>,
+    pub orders: u64,
+    pub loads: Vec<u64>,
+    /// Before the first request, loads take a tenth of their time.
+    pub has_traffic: bool,
+    generation: u64,
+    pending: Vec<Pending>,
+    answers: Vec<(u64, Event)>,
+}
+
+impl World {
+    /// Creates data centres `a` to `c` with two fabric domains of ten endpoints each.
+    pub fn new(seed: u64) -> Self {
+        let mut hosts = BTreeMap::new();
+        for (d, data_centre) in ["a", "b", "c"].iter().enumerate() {
+            for i in 0..20_u16 {
+                let port = 1_000 + d as u16 * 100 + i;
+                let name = format!("{data_centre}-{i:02}");
+                let domain = format!("{data_centre}{}", i / 10);
+                let entry = Endpoint {
+                    data_centre: support::data_centre(data_centre),
+                    domain: Some(FabricDomainName::try_from(domain).unwrap()),
+                    ..support::endpoint(&name, port)
+                };
+                hosts.insert(entry.vm.clone(), Host::new(entry));
+            }
+        }
+        let mut world = Self {
+            now_ms: 10_000,
+            hosts,
+            fleet: support::fleet("node"),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            late_share: 0.0,
+            lost_share: 0.0,
+            violations: Vec::new(),
+            orders: 0,
+            loads: Vec::new(),
+            has_traffic: false,
+            generation: 0,
+            pending: Vec::new(),
+            answers: Vec::new(),
+        };
+        world.replace_planner();
+        world
+    }
+
+    /// Lets another node plan, which knows nothing but the list.
+    pub fn replace_planner(&mut self) {
+        self.generation += 1;
+        self.fleet = support::fleet("node");
+        self.answers.clear();
+        let configuration = support::configuration(1);
+        reduce(&mut self.fleet, self.now_ms, Event::Configuration(configuration.into()));
+    }
+
+    pub fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    pub fn kill(&mut self, vm: &VmName) {
+        if let Some(host) = self.hosts.get_mut(vm) {
+            host.life = Life::Dead;
+            host.silent_since_ms = Some(self.now_ms);
+        }
+    }
+
+    /// Cuts a data centre off from the planner and the list, or ends the cut.
+    pub fn cut(&mut self, data_centre: &DataCentreName, is_cut: bool) {
+        for host in self.hosts.values_mut().filter(|h| h.entry.data_centre == *data_centre) {
+            host.is_cut = is_cut;
+            let is_silent = is_cut || host.life == Life::Dead;
+            host.silent_since_ms = match (is_silent, host.silent_since_ms) {
+                (true, since) => since.or(Some(self.now_ms)),
+                (false, _) => None,
+            };
+        }
+    }
+
+    /// Returns the heads that serve, by model.
+    pub fn serving(&self) -> BTreeMap<ModelName, u32> {
+        let mut serving = BTreeMap::new();
+        for host in self.hosts.values().filter(|host| self.serves(host)) {
+            if let Some(model) = &host.model {
+                *serving.entry(model.clone()).or_default() += 1;
+            }
+        }
+        serving
+    }
+
+    /// Whether a host is the head of an open group with all its members alive.
+    pub fn serves(&self, host: &Host) -> bool {
+        let Some(membership) = &host.entry.membership else { return false };
+        let is_open = membership.rank == 0 && membership.state == MemberState::Open;
+        let holds = |vm: &VmName| {
+            let member = &self.hosts[vm];
+            let same = member.entry.membership.as_ref();
+            member.life == Life::Up
+                && same.is_some_and(|m| m.group == membership.group && m.epoch == membership.epoch)
+        };
+        is_open && host.members.iter().all(holds)
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let now_ms = self.now_ms;
+        for host in self.hosts.values_mut() {
+            host.become_due(now_ms);
+        }
+        self.deliver();
+        let leadership = Leadership { generation: self.generation, until_ms: now_ms + 1_000 };
+        self.apply(Event::Lead(Some(leadership)));
+        if now_ms % 200 == 0 {
+            self.list();
+        }
+        self.hear();
+        self.apply(Event::Tick);
+    }
+
+    /// Shows the list; most of the time it equals what is known.
+    fn list(&mut self) {
+        let now_ms = self.now_ms;
+        let is_listed =
+            |host: &&Host| host.silent_since_ms.is_none_or(|since_ms| now_ms < since_ms + LAPSE_MS);
+        let listed = self.hosts.values().filter(is_listed).map(|host| host.entry.clone());
+        let whole = ListChange::Whole(listed.collect());
+        self.apply(Event::List(whole));
+    }
+
+    /// Requests that go on show which data centres can be reached.
+    fn hear(&mut self) {
+        let reached: BTreeSet<DataCentreName> = self
+            .hosts
+            .values()
+            .filter(|host| host.life == Life::Up && !host.is_cut)
+            .map(|host| host.entry.data_centre.clone())
+            .collect();
+        for data_centre in reached {
+            self.fleet.planner.heard(self.now_ms, &data_centre);
+        }
+    }
+
+    pub fn apply(&mut self, event: Event) {
+        for effect in reduce(&mut self.fleet, self.now_ms, event) {
+            match effect {
+                Effect::Order { vm, order, .. } => self.send(vm, order),
+                Effect::Probe { vm, .. } => {
+                    let host = &self.hosts[&vm];
+                    let is_alive = host.life == Life::Up && !host.is_cut;
+                    let delay_ms = if is_alive { ORDER_MS } else { 220 };
+                    let event = Event::Probed { vm, is_alive };
+                    self.answers.push((self.now_ms + delay_ms, event));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, vm: VmName, order: Order) {
+        self.orders += 1;
+        let host = &self.hosts[&vm];
+        let is_reached = host.life == Life::Up && !host.is_cut;
+        let is_late = self.random.random_bool(self.late_share);
+        let is_lost = self.random.random_bool(self.lost_share);
+        if !is_reached || is_late || is_lost {
+            let event = Event::OrderAnswered {
+                vm: vm.clone(),
+                order: order.clone(),
+                answer: OrderAnswer::Unanswered,
+            };
+            self.answers.push((self.now_ms + CALL_MS, event));
+        }
+        if !is_reached {
+            return;
+        }
+        let late_ms = if is_late { self.random.random_range(2_000..12_000) } else { 0 };
+        let at_ms = self.now_ms + ORDER_MS + late_ms;
+        self.pending.push(Pending { at_ms, vm, order, answers: !is_late && !is_lost });
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) =
+            std::mem::take(&mut self.pending).into_iter().partition(|p| p.at_ms <= now_ms);
+        self.pending = later;
+        let due: Vec<Pending> = due;
+        for Pending { vm, order, answers, .. } in due {
+            let answer = self.carry_out(&vm, &order);
+            if answers {
+                self.answers.push((now_ms, Event::OrderAnswered { vm, order, answer }));
+            }
+        }
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.answers = later;
+        for (_, event) in due {
+            self.apply(event);
+        }
+    }
+
+    fn carry_out(&mut self, vm: &VmName, order: &Order) -> OrderAnswer {
+        if self.hosts[vm].life == Life::Dead {
+            return OrderAnswer::Unanswered;
+        }
+        match order {
+            Order::Join { group, epoch, model, members } => {
+                self.join(vm, group, *epoch, model, members)
+            }
+            Order::Open { group, epoch } => self.open(vm, group, *epoch),
+            Order::Close { group, epoch } => {
+                let now_ms = self.now_ms;
+                let host = self.hosts.get_mut(vm).unwrap();
+                match host.membership_of(group, *epoch) {
+                    Some(membership) if membership.state == MemberState::Open => {
+                        membership.state = MemberState::Closing;
+                        host.becomes = Some((now_ms + 800, MemberState::Ready));
+                        OrderAnswer::Accepted
+                    }
+                    _ => OrderAnswer::Refused,
+                }
+            }
+            Order::Leave { group, epoch } => {
+                let host = self.hosts.get_mut(vm).unwrap();
+                if host.membership_of(group, *epoch).is_none() {
+                    return OrderAnswer::Refused;
+                }
+                host.entry.membership = None;
+                host.becomes = None;
+                OrderAnswer::Accepted
+            }
+            Order::Stage { model } => {
+                self.loads.push(self.now_ms);
+                self.hosts.get_mut(vm).unwrap().entry.staged = vec![model.clone()];
+                OrderAnswer::Accepted
+            }
+        }
+    }
+
+    fn join(
+        &mut self,
+        vm: &VmName,
+        group: &GroupName,
+        epoch: u64,
+        model: &ModelName,
+        members: &[VmName],
+    ) -> OrderAnswer {
+        self.check_two(vm, group, epoch);
+        let now_ms = self.now_ms;
+        let engine = support::engine();
+        let figures = engine.model(model).unwrap();
+        let host = self.hosts.get_mut(vm).unwrap();
+        if epoch < host.highest_epoch {
+            return OrderAnswer::Refused;
+        }
+        if let Some(membership) = host.membership_of(group, epoch) {
+            let _ = membership;
+            return match host.members == members {
+                true => OrderAnswer::Accepted,
+                false => OrderAnswer::Refused,
+            };
+        }
+        host.highest_epoch = epoch;
+        let takes_ms = if host.last_model.as_ref() == Some(model) {
+            200
+        } else if host.entry.staged.contains(model) {
+            figures.warm_ms
+        } else {
+            self.loads.push(now_ms);
+            host.entry.staged = vec![model.clone()];
+            if self.has_traffic { figures.load_ms } else { figures.load_ms / 10 }
+        };
+        let rank = members.iter().position(|member| member == vm).unwrap() as u32;
+        host.members = members.to_vec();
+        host.model = Some(model.clone());
+        host.becomes = Some((now_ms + takes_ms, MemberState::Ready));
+        let state = MemberState::Joining;
+        host.entry.membership = Some(Membership { group: group.clone(), epoch, rank, state });
+        OrderAnswer::Accepted
+    }
+
+    /// A member may be joined elsewhere only when the head of its group serves it no more.
+    fn check_two(&mut self, vm: &VmName, group: &GroupName, epoch: u64) {
+        let Some(old) = self.hosts[vm].entry.membership.clone() else { return };
+        if old.group == *group && old.epoch == epoch || epoch < self.hosts[vm].highest_epoch {
+            return;
+        }
+        let is_head = |host: &&Host| {
+            let membership = host.entry.membership.as_ref();
+            membership.is_some_and(|m| {
+                let serves = matches!(m.state, MemberState::Open | MemberState::Closing);
+                m.rank == 0 && m.group == old.group && m.epoch == old.epoch && serves
+            })
+        };
+        let head = self.hosts.values().filter(|host| host.life == Life::Up).find(is_head);
+        if let Some(head) = head {
+            self.violations.push(format!(
+                "{} ms: {vm} was joined to {group} while {} served {}",
+                self.now_ms, head.entry.vm, old.group
+            ));
+        }
+    }
+
+    fn open(&mut self, vm: &VmName, group: &GroupName, epoch: u64) -> OrderAnswer {
+        let host = &self.hosts[vm];
+        let state =
+            host.entry.membership.as_ref().filter(|m| m.group == *group && m.epoch == epoch);
+        match state.map(|m| m.state) {
+            Some(MemberState::Ready) => {}
+            Some(MemberState::Open) => return OrderAnswer::Accepted,
+            _ => return OrderAnswer::Refused,
+        }
+        let key = (group.clone(), epoch);
+        let unready: Vec<VmName> = host
+            .members
+            .iter()
+            .filter(|member| !self.hosts[*member].was_ready.contains(&key))
+            .cloned()
+            .collect();
+        if !unready.is_empty() {
+            self.violations.push(format!("{} ms: {group} opened without {unready:?}", self.now_ms));
+        }
+        let at_ms = self.now_ms + support::engine().form_ms;
+        self.hosts.get_mut(vm).unwrap().becomes = Some((at_ms, MemberState::Open));
+        OrderAnswer::Accepted
+    }
+}
+
+impl Host {
+    fn new(entry: Endpoint) -> Self {
+        Self {
+            entry,
+            life: Life::Up,
+            silent_since_ms: None,
+            is_cut: false,
+            members: Vec::new(),
+            model: None,
+            last_model: None,
+            becomes: None,
+            highest_epoch: 0,
+            was_ready: BTreeSet::new(),
+        }
+    }
+
+    fn membership_of(&mut self, group: &GroupName, epoch: u64) -> Option<&mut Membership> {
+        self.entry.membership.as_mut().filter(|m| m.group == *group && m.epoch == epoch)
+    }
+
+    fn become_due(&mut self, now_ms: u64) {
+        let Some((at_ms, state)) = self.becomes.filter(|(at_ms, _)| *at_ms <= now_ms) else {
+            return;
+        };
+        let _ = at_ms;
+        self.becomes = None;
+        if let Some(membership) = &mut self.entry.membership {
+            membership.state = state;
+            if state == MemberState::Ready {
+                self.last_model = self.model.clone();
+                self.was_ready.insert((membership.group.clone(), membership.epoch));
+            }
+        }
+    }
+}
