Let one node of a data centre read the list and pass changes on

Ruled out: longer pauses between reads; an endpoint that drains must be known within two seconds. Change: the first live node of a data centre reads the list and sends what changed by datagram; a gap or silence is followed by a read. Two nodes a data centre stand for the planner and watch the operators' topic; the rest hear of a newer version. A node asks only the member that another one found lost, and suspects a group early only while one of its own answers had begun. The limit of a cold endpoint is split by time, not by whole requests. The head of a group is remembered.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -96,6 +96,11 @@
             .collect()
     }
 
+    /// Whether an entry says what is known already.
+    pub fn knows(&self, listed: &Endpoint) -> bool {
+        self.endpoints.get(&listed.vm).is_some_and(|known| is_same(known, listed))
+    }
+
     /// Returns an endpoint by name.
     pub fn get(&self, vm: &VmName) -> Option<&Endpoint> {
         self.endpoints.get(vm)
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -170,12 +170,27 @@
 pub struct PeerReport {
     /// The node.
     pub node: Arc<str>,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// The version of the configuration that it has in force; zero before the first.
+    pub version: u64,
     /// Its requests by endpoint.
     pub loads: Vec<PeerLoad>,
     /// The work that callers bring to it, by model.
     pub demand: Vec<(ModelName, f64)>,
     /// Groups that it found lost.
-    pub lost: Vec<(GroupName, u64)>,
+    pub lost: Vec<LostGroup>,
+}
+
+/// A group that a node gave up because a member did not answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostGroup {
+    /// The group.
+    pub group: GroupName,
+    /// Its fencing number.
+    pub epoch: u64,
+    /// The member.
+    pub member: VmName,
 }
 
 /// The requests of another node at one endpoint.
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -12,7 +12,7 @@
 use crate::event::Ticket;
 
 /// A peer's report counts for this long; a node that stopped must not hold places for ever.
-pub const PEER_REPORT_MS: u64 = 1_000;
+pub const PEER_REPORT_MS: u64 = 1_500;
 
 /// First pause of an endpoint that could not be reached; it doubles with each further failure.
 const AVOID_MS: u64 = 500;
@@ -53,8 +53,10 @@
     failures: u32,
     /// Share of recent answers that were failures.
     pub failure_share: f64,
-    /// Sends in the second that began at the first figure, for the limit of a cold start.
-    cold_sends: (u64, u32),
+    /// This node's part of the limit of a cold start.
+    pub cold: ColdPart,
+    /// This node's attempts whose first event has come.
+    pub started: u32,
 }
 
 impl EndpointLoad {
@@ -66,18 +68,48 @@
             (in_flight + peer.1, unread + peer.2)
         })
     }
+}
+
+/// A node's part of the requests a second that an endpoint bears in cold start.
+///
+/// Dozens of nodes share a limit of a few requests, so a part is less than one request a second:
+/// it fills from another level on each node, and the nodes' first requests are spread over the time that one
+/// request takes to fill.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ColdPart {
+    level: f64,
+    filled_ms: Option<u64>,
+}
 
-    /// Whether one more send fits under this node's part of a limit for cold starts.
-    pub fn fits_cold(&self, now_ms: u64, limit: u32) -> bool {
-        let (since_ms, sends) = self.cold_sends;
-        now_ms >= since_ms + 1_000 || sends < limit
+/// Most requests that a part holds, so that no pause lets all nodes send at once.
+const COLD_BURST: f64 = 1.0;
+
+/// A part that was not filled for this long belongs to an earlier cold start.
+const COLD_STALE_MS: u64 = 1_000;
+
+impl ColdPart {
+    /// Lets the part grow; it begins at `phase`, which is 0 to 1 and another one on each node.
+    pub fn fill(&mut self, now_ms: u64, rate_per_s: f64, phase: f64) {
+        let fresh_ms = self.filled_ms.filter(|at_ms| now_ms < at_ms + COLD_STALE_MS);
+        self.level = match fresh_ms {
+            Some(at_ms) => {
+                let gained = (now_ms - at_ms) as f64 / 1_000.0 * rate_per_s;
+                (self.level + gained).min(COLD_BURST.max(rate_per_s / 10.0))
+            }
+            None => phase * COLD_BURST,
+        };
+        self.filled_ms = Some(now_ms);
     }
 
-    fn count_send(&mut self, now_ms: u64) {
-        match now_ms >= self.cold_sends.0 + 1_000 {
-            true => self.cold_sends = (now_ms, 1),
-            false => self.cold_sends.1 += 1,
-        }
+    /// Whether one more request fits.
+    pub fn has_room(&self, now_ms: u64, rate_per_s: f64) -> bool {
+        let is_fresh = self.filled_ms.is_some_and(|at_ms| now_ms < at_ms + COLD_STALE_MS);
+        is_fresh && rate_per_s > 0.0 && self.level >= 1.0
+    }
+
+    /// Counts a request.
+    pub fn spend(&mut self) {
+        self.level -= 1.0;
     }
 }
 
@@ -111,7 +143,6 @@
         let load = self.entry(vm);
         load.in_flight += 1;
         load.unread_tokens += unread_tokens;
-        load.count_send(now_ms);
         let progress_ms = load.progress_ms.clone();
         let running = Running { vm: vm.clone(), sent_ms: now_ms, unread_tokens, is_started: false };
         self.running.insert(ticket, running);
@@ -121,9 +152,10 @@
     /// Notes that the prompt of an attempt has been read; returns its endpoint.
     pub fn started(&mut self, ticket: Ticket) -> Option<VmName> {
         let running = self.running.get_mut(&ticket)?;
-        running.is_started = true;
+        let is_first = !std::mem::replace(&mut running.is_started, true);
         let unread = std::mem::take(&mut running.unread_tokens);
         if let Some(load) = self.loads.get_mut(&running.vm) {
+            load.started += u32::from(is_first);
             load.unread_tokens = load.unread_tokens.saturating_sub(unread);
         }
         Some(running.vm.clone())
@@ -134,6 +166,7 @@
         let running = self.running.remove(&ticket)?;
         let load = self.loads.entry(running.vm.clone()).or_default();
         load.in_flight = load.in_flight.saturating_sub(1);
+        load.started = load.started.saturating_sub(u32::from(running.is_started));
         load.unread_tokens = load.unread_tokens.saturating_sub(running.unread_tokens);
         let failed = match end {
             AttemptEnd::Answered => Some(0.0),
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -45,9 +45,12 @@
 /// Time for members to report that they joined, beyond the time of the load itself.
 const JOIN_MARGIN_MS: u64 = 4_000;
 
-/// A group without a listed head is given up after this long: a head that lives breaks after the
-/// stall that the platform states, and is listed again by then.
-const HEADLESS_MS: u64 = 6_000;
+/// A group whose head nobody here ever saw is given up after this long: a head that is only cut off
+/// from the list serves on, and such cuts last up to ten seconds.
+const HEADLESS_MS: u64 = 20_000;
+
+/// How long the head of a group that is no longer listed is remembered.
+const HEAD_MEMORY_MS: u64 = 60_000;
 
 /// Orders without an answer that, with its entry gone, count as the end of a head.
 const HEAD_UNANSWERED: u32 = 2;
@@ -92,6 +95,8 @@
     members: BTreeSet<VmName>,
     /// Whether running work ends first.
     is_graceful: bool,
+    /// Whether the head refused to leave, as one does that is not a member any more.
+    has_refused: bool,
     /// Orders to which the head's address said that nothing listens.
     refused: u32,
     /// Orders that the head left unanswered while others of its data centre answered.
@@ -112,6 +117,8 @@
     dead: BTreeMap<VmName, u64>,
     departed: BTreeMap<VmName, (u64, Endpoint)>,
     headless: BTreeMap<Key, u64>,
+    /// The head of each group, with the time at which it was last listed.
+    heads: BTreeMap<Key, (VmName, u64)>,
     sent: BTreeMap<(VmName, &'static str), u64>,
     /// Endpoints that were ordered to stage a model, with the time of the order.
     staging: BTreeMap<VmName, (ModelName, u64)>,
@@ -164,6 +171,16 @@
         self.leadership.is_some_and(|l| now_ms < l.until_ms)
     }
 
+    /// Remembers the heads of groups as the list shows them.
+    pub fn remember_head(&mut self, now_ms: u64, endpoint: &Endpoint) {
+        let Some(membership) = endpoint.membership.as_ref().filter(|m| m.rank == 0) else {
+            return;
+        };
+        let key = (membership.group.clone(), membership.epoch);
+        self.heads.insert(key, (endpoint.vm.clone(), now_ms));
+        self.heads.retain(|_, (_, seen_ms)| now_ms < *seen_ms + HEAD_MEMORY_MS);
+    }
+
     /// Remembers an endpoint that left the list.
     pub fn departed(&mut self, now_ms: u64, endpoint: Endpoint) {
         self.departed.insert(endpoint.vm.clone(), (now_ms, endpoint));
@@ -214,10 +231,14 @@
                     forming.limit_ms = 0;
                 }
             }
-            (Order::Leave { group, epoch }, OrderAnswer::Accepted | OrderAnswer::Refused) => {
-                // A head that refuses is not in this group any more.
+            (Order::Leave { group, epoch }, OrderAnswer::Accepted) => {
                 self.release(&(group.clone(), *epoch));
             }
+            (Order::Leave { group, epoch }, OrderAnswer::Refused) => {
+                if let Some(ending) = self.ending.get_mut(&(group.clone(), *epoch)) {
+                    ending.has_refused = true;
+                }
+            }
             (Order::Leave { group, epoch }, OrderAnswer::Unreachable) => {
                 if let Some(ending) = self.ending.get_mut(&(group.clone(), *epoch)) {
                     ending.refused += 1;
@@ -446,6 +467,11 @@
             self.end(key, &members, false, "its head is gone", effects);
             return;
         }
+        let head = self.heads.get(key).map(|(head, _)| head.clone());
+        if head.is_some_and(|head| self.has_left(view, key, &head)) {
+            members.iter().for_each(|vm| _ = self.freed.insert(vm.clone(), key.1));
+            return;
+        }
         let since_ms = *self.headless.entry(key.clone()).or_insert(view.now_ms);
         if view.now_ms >= since_ms + HEADLESS_MS {
             members.iter().for_each(|vm| _ = self.freed.insert(vm.clone(), key.1));
@@ -465,6 +491,7 @@
             head: members[0].clone(),
             members: members.iter().cloned().collect(),
             is_graceful,
+            has_refused: false,
             refused: 0,
             unanswered: 0,
         };
@@ -484,7 +511,8 @@
             let Some(ending) = self.ending.get(&key).cloned() else { continue };
             let is_listed = view.directory.get(&ending.head).is_some();
             let is_silent = !is_listed && ending.unanswered >= HEAD_UNANSWERED;
-            if is_silent || ending.refused >= HEAD_REFUSED {
+            let has_left = ending.has_refused && self.has_left(view, &key, &ending.head);
+            if is_silent || has_left || ending.refused >= HEAD_REFUSED {
                 self.release(&key);
                 continue;
             }
@@ -505,6 +533,14 @@
         }
     }
 
+    /// Whether the list shows the head of a group without its membership.
+    fn has_left(&self, view: &View<'_>, key: &Key, head: &VmName) -> bool {
+        view.directory.get(head).is_some_and(|endpoint| {
+            let membership = endpoint.membership.as_ref();
+            membership.is_none_or(|m| m.group != key.0 || m.epoch != key.1)
+        })
+    }
+
     fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
         for vm in ending.members.iter().filter(|vm| **vm != ending.head) {
             let Some(endpoint) = view.directory.get(vm) else { continue };
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -1,5 +1,8 @@
 //! The reducer: one event in, the effects to carry out.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -15,6 +18,7 @@
 use crate::event::AttemptEnd;
 use crate::event::Effect;
 use crate::event::Event;
+use crate::event::LostGroup;
 use crate::event::Note;
 use crate::event::OrderAnswer;
 use crate::event::PeerReport;
@@ -29,6 +33,7 @@
 use crate::serving::Server;
 use crate::serving::Serving;
 use crate::state::Fleet;
+use crate::state::Peer;
 use crate::suspicion;
 use crate::suspicion::Step;
 use crate::waiting;
@@ -100,6 +105,12 @@
 }
 
 fn list(fleet: &mut Fleet, now_ms: u64, change: ListChange, effects: &mut Vec<Effect>) {
+    if let ListChange::Put(endpoint) = &change {
+        fleet.planner.remember_head(now_ms, endpoint);
+    }
+    if let ListChange::Whole(endpoints) = &change {
+        endpoints.iter().for_each(|endpoint| fleet.planner.remember_head(now_ms, endpoint));
+    }
     let applied = fleet.directory.apply(now_ms, change);
     forget(fleet, now_ms, applied.gone, "not listed", effects);
     if applied.is_changed {
@@ -192,6 +203,9 @@
 ) {
     let ticket = arrival.ticket;
     let progress_ms = fleet.loads.start(now_ms, ticket, &server.vm, arrival.prompt_tokens);
+    if now_ms < server.cold_until_ms {
+        fleet.loads.entry(&server.vm).cold.spend();
+    }
     let is_first = fleet.loads.get(&server.vm).is_some_and(|load| load.in_flight == 1);
     if is_first {
         // Silence counts from the first request, not from the last event before it.
@@ -206,8 +220,7 @@
 fn choose(fleet: &Fleet, now_ms: u64, kind: &Kind, arrival: &Arrival) -> Option<Server> {
     let configuration = fleet.configuration.as_ref()?;
     let pool = configuration.pools.get(&kind.pool)?;
-    let nodes = fleet.nodes(now_ms);
-    let cold_limit = ((pool.cold_per_s / f64::from(nodes)) as u32).max(1);
+    let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
     let mut best: Option<(bool, f64, &Server)> = None;
     for server in fleet.serving.of(kind) {
         if !may_take(fleet, server, arrival) {
@@ -220,8 +233,8 @@
             None => server.slots + PLAIN_QUEUE,
         };
         let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
-        let fits_cold = load.is_none_or(|load| load.fits_cold(now_ms, cold_limit));
-        if in_flight >= limit || (is_cold && !fits_cold) {
+        let is_open = !is_cold || load.is_some_and(|load| load.cold.has_room(now_ms, cold_per_s));
+        if in_flight >= limit || !is_open {
             continue;
         }
         let is_local = server.data_centre == fleet.settings.data_centre;
@@ -295,31 +308,31 @@
 }
 
 fn peer(fleet: &mut Fleet, now_ms: u64, report: PeerReport, effects: &mut Vec<Effect>) {
-    fleet.peers.insert(report.node.clone(), now_ms);
+    let PeerReport { node, data_centre, .. } = &report;
+    fleet.peers.insert(node.clone(), Peer { heard_ms: now_ms, data_centre: data_centre.clone() });
     fleet.loads.report(now_ms, &report);
-    for (group, epoch) in &report.lost {
-        if !fleet.suspicions.is_lost(group, *epoch) {
-            ask_members(fleet, now_ms, group, *epoch, effects);
+    for lost in &report.lost {
+        if !fleet.suspicions.is_lost(&lost.group, lost.epoch) {
+            ask_member(fleet, now_ms, lost, effects);
         }
     }
     fleet.demand.report(now_ms, &report.node, report.demand);
 }
 
-/// Asks the members of a group that another node found lost; its word alone proves nothing here.
-fn ask_members(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    group: &GroupName,
-    epoch: u64,
-    effects: &mut Vec<Effect>,
-) {
+/// Asks the member whose silence made another node give up a group; its word alone proves nothing
+/// here, but it tells whom to ask.
+fn ask_member(fleet: &mut Fleet, now_ms: u64, lost: &LostGroup, effects: &mut Vec<Effect>) {
     let server = fleet.serving.all().find(|(_, server)| {
-        server.group.as_ref().is_some_and(|(name, number)| name == group && *number == epoch)
+        let group = server.group.as_ref();
+        group.is_some_and(|(name, epoch)| *name == lost.group && *epoch == lost.epoch)
     });
     let Some((_, server)) = server else { return };
-    let (head, key) = (server.vm.clone(), (group.clone(), epoch));
-    if fleet.suspicions.silent(now_ms, &head, &key, 0) == Step::Ask {
-        probe_members(fleet, &key, effects);
+    let member = fleet.directory.get(&lost.member);
+    let (head, key) = (server.vm.clone(), (lost.group.clone(), lost.epoch));
+    if let Some(member) = member
+        && fleet.suspicions.silent(now_ms, &head, &key, 0) == Step::Ask
+    {
+        effects.push(Effect::Probe { vm: member.vm.clone(), address: member.address });
     }
 }
 
@@ -368,6 +381,7 @@
         forget(fleet, now_ms, gone, "not listed again", effects);
         refresh(fleet);
     }
+    fill_cold(fleet, now_ms);
     watch_heads(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
         serve_waiting(fleet, now_ms, &kind, effects);
@@ -378,6 +392,26 @@
     plan(fleet, now_ms, effects);
 }
 
+/// Lets this node's part of the limits of cold starts grow.
+fn fill_cold(fleet: &mut Fleet, now_ms: u64) {
+    let nodes = f64::from(fleet.nodes(now_ms));
+    let Some(configuration) = fleet.configuration.clone() else { return };
+    let cold = fleet.serving.all().filter(|(_, server)| now_ms < server.cold_until_ms);
+    let cold: Vec<_> = cold.map(|(kind, s)| (kind.pool.clone(), s.vm.clone())).collect();
+    for (pool, vm) in cold {
+        let rate_per_s = configuration.pools.get(&pool).map_or(0.0, |pool| pool.cold_per_s);
+        let phase = phase(&fleet.settings.node, &vm);
+        fleet.loads.entry(&vm).cold.fill(now_ms, rate_per_s / nodes, phase);
+    }
+}
+
+/// Returns a level from 0 to 1 that differs between nodes and endpoints.
+fn phase(node: &str, vm: &VmName) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (node, vm).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
+
 /// Looks for heads whose answers have all fallen silent.
 fn watch_heads(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let loads = &fleet.loads;
@@ -398,7 +432,11 @@
         };
         let silent_ms = now_ms.saturating_sub(load.progress_ms.load(Ordering::Relaxed));
         let (in_flight, unread) = load.total(now_ms);
-        let limit_ms = suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread);
+        let mut limit_ms = suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread);
+        if load.started == 0 {
+            // Nothing shows the passes of the group but the prompts that wait to be read.
+            limit_ms = limit_ms.max(suspicion::UNSTARTED_SILENCE_MS);
+        }
         if silent_ms < limit_ms {
             fleet.suspicions.moves(&server.vm);
             continue;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -39,6 +39,13 @@
     pub retry_slack: f64,
 }
 
+/// Another node, as its last report shows it.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub heard_ms: u64,
+    pub data_centre: DataCentreName,
+}
+
 /// Part of the retry budget that is used: nodes disagree for a while on how many they are.
 const BUDGET_SHARE: f64 = 0.6;
 
@@ -66,7 +73,7 @@
     /// The orders to endpoints.
     pub planner: Planner,
     pub(crate) budgets: BTreeMap<PoolName, RetryBudget>,
-    pub(crate) peers: BTreeMap<Arc<str>, u64>,
+    pub(crate) peers: BTreeMap<Arc<str>, Peer>,
     pub(crate) kinds: BTreeMap<Ticket, (Kind, Arrival)>,
 }
 
@@ -92,10 +99,28 @@
 
     /// Returns the nodes that are live, this one included.
     pub fn nodes(&self, now_ms: u64) -> u32 {
-        let live = self.peers.values().filter(|at_ms| now_ms < **at_ms + PEER_LIVE_MS);
+        let live = self.peers.values().filter(|peer| now_ms < peer.heard_ms + PEER_LIVE_MS);
         1 + live.count() as u32
     }
 
+    /// Returns this node's place among the live nodes of its data centre, from 0.
+    ///
+    /// Work that one node can do for its data centre falls to the first ones, so that its cost does
+    /// not grow with the number of nodes; a node that hears no other one has place 0.
+    pub fn place(&self, now_ms: u64) -> usize {
+        let before = self.peers.iter().filter(|(name, peer)| {
+            now_ms < peer.heard_ms + PEER_LIVE_MS
+                && peer.data_centre == self.settings.data_centre
+                && ***name < *self.settings.node
+        });
+        before.count()
+    }
+
+    /// Returns the version of the configuration in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.version)
+    }
+
     /// Returns the pool with engines and their figures.
     pub fn engine_pool(&self) -> Option<(&PoolName, &Engine)> {
         let pools = &self.configuration.as_ref()?.pools;
@@ -116,9 +141,11 @@
         });
         PeerReport {
             node: self.settings.node.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            version: self.version(),
             loads: loads.collect(),
             demand: self.demand.own(now_ms),
-            lost: self.suspicions.lost().map(|(group, epoch)| (group.clone(), epoch)).collect(),
+            lost: self.suspicions.lost().collect(),
         }
     }
 
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -11,6 +11,7 @@
 use balsam_types::VmName;
 
 use crate::configuration::Engine;
+use crate::event::LostGroup;
 use crate::placement;
 
 /// Shortest silence that counts: a few passes of a small group, above the jitter of the network. A
@@ -23,6 +24,10 @@
 /// Time added for the network and for late timers.
 const SILENCE_MARGIN_MS: f64 = 60.0;
 
+/// Shortest silence that counts while no answer of this node at the group has begun: how many
+/// prompts of other nodes are read first is known late.
+pub const UNSTARTED_SILENCE_MS: u64 = 700;
+
 /// Silence after which a group is left although all its members answer.
 const LEAVE_SILENT_MS: u64 = 2_000;
 
@@ -186,9 +191,15 @@
         });
     }
 
-    /// Returns the groups that were found lost.
-    pub fn lost(&self) -> impl Iterator<Item = (&GroupName, u64)> {
-        let lost = self.by_head.values().filter(|s| matches!(s.stage, Stage::Lost { .. }));
-        lost.map(|s| (&s.group, s.epoch))
+    /// Returns the groups that were found lost, with the member that did not answer.
+    pub fn lost(&self) -> impl Iterator<Item = LostGroup> {
+        self.by_head.values().filter_map(|suspicion| match &suspicion.stage {
+            Stage::Lost { member: Some(member), .. } => Some(LostGroup {
+                group: suspicion.group.clone(),
+                epoch: suspicion.epoch,
+                member: member.clone(),
+            }),
+            _ => None,
+        })
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,115 +1,135 @@
-//! What the nodes tell each other about their load, by datagrams.
+//! What the nodes tell each other, by datagrams: their load, and changes of the list of endpoints.
 //!
-//! A lost datagram costs nothing: each one carries the whole state and the next follows soon.
+//! A lost datagram costs little: a report carries the whole state and the next follows soon, and a
+//! change of the list that was missed shows as a gap, after which the list itself is read.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use balsam_fleet::Event;
-use balsam_fleet::event::PeerLoad;
-use balsam_fleet::event::PeerReport;
-use balsam_types::GroupName;
-use balsam_types::ModelName;
-use balsam_types::VmName;
-use prost::Message;
+use balsam_types::DataCentreName;
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
 
 use crate::clock::now_ms;
 use crate::hub::Hub;
+use crate::message;
+use crate::message::Envelope;
 
 /// Shortest pause between two reports: nodes that choose on older figures choose the same endpoint.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time that one datagram may cost, so that the pause grows with the number of nodes.
-const PER_PEER: Duration = Duration::from_millis(10);
+/// Time that one datagram to the own data centre may cost, so that the pause grows with the nodes.
+const PER_NEAR_PEER: Duration = Duration::from_millis(10);
 
-/// Longest datagram that is read.
-const MAX_BYTES: usize = 60 * 1024;
+/// The same for other data centres, whose requests mostly go to other endpoints.
+const PER_FAR_PEER: Duration = Duration::from_millis(15);
 
-/// A report on the wire.
-#[derive(Clone, PartialEq, Message)]
-struct Report {
-    #[prost(string, tag = "1")]
-    node: String,
-    #[prost(message, repeated, tag = "2")]
-    loads: Vec<Load>,
-    #[prost(message, repeated, tag = "3")]
-    demand: Vec<ModelDemand>,
-    #[prost(message, repeated, tag = "4")]
-    lost: Vec<LostGroup>,
-}
+/// A node that was not heard for this long gets no more reports until it is found in the store.
+const FORGET_MS: u64 = 10_000;
 
-#[derive(Clone, PartialEq, Message)]
-struct Load {
-    #[prost(string, tag = "1")]
-    vm: String,
-    #[prost(uint32, tag = "2")]
-    in_flight: u32,
-    #[prost(uint64, tag = "3")]
-    unread_tokens: u64,
-}
+/// Longest datagram that is read.
+const MAX_BYTES: usize = 60 * 1024;
 
-#[derive(Clone, PartialEq, Message)]
-struct ModelDemand {
-    #[prost(string, tag = "1")]
-    model: String,
-    #[prost(double, tag = "2")]
-    busy_groups: f64,
+/// Most bytes of changes in one datagram; longer ones leave a gap, and the list is read.
+const MAX_NEWS_BYTES: usize = 48 * 1024;
+
+/// Changes that wait for their reader.
+const NEWS_QUEUE: usize = 64;
+
+/// Changes of the list of endpoints that another node read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListNews {
+    /// The position in the list's records from which the changes follow.
+    pub from: u64,
+    /// The position after them.
+    pub to: u64,
+    /// The records that changed something, as the platform gave them.
+    pub records: Vec<Vec<u8>>,
 }
 
-#[derive(Clone, PartialEq, Message)]
-struct LostGroup {
-    #[prost(string, tag = "1")]
-    group: String,
-    #[prost(uint64, tag = "2")]
-    epoch: u64,
+/// Another node.
+#[derive(Debug, Clone)]
+struct Peer {
+    heard_ms: u64,
+    /// Known once it was heard.
+    data_centre: Option<DataCentreName>,
 }
 
-/// The exchange of reports.
+/// The exchange between nodes.
 #[derive(Debug)]
 pub struct Gossip {
     hub: Arc<Hub>,
     socket: UdpSocket,
-    peers: Mutex<Vec<SocketAddr>>,
+    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    news: mpsc::Sender<ListNews>,
+    /// Woken when another node has a newer configuration.
+    pub newer_configuration: Notify,
 }
 
 impl Gossip {
-    /// Creates the exchange on a bound socket.
-    pub fn new(hub: Arc<Hub>, socket: UdpSocket) -> Arc<Self> {
-        Arc::new(Self { hub, socket, peers: Mutex::default() })
+    /// Creates the exchange on a bound socket, with the receiver of changes of the list.
+    pub fn new(hub: Arc<Hub>, socket: UdpSocket) -> (Arc<Self>, mpsc::Receiver<ListNews>) {
+        let (news, receiver) = mpsc::channel(NEWS_QUEUE);
+        let peers = Mutex::default();
+        let newer_configuration = Notify::new();
+        (Arc::new(Self { hub, socket, peers, news, newer_configuration }), receiver)
+    }
+
+    /// Adds nodes that were found in the store or the settings.
+    pub fn add_peers(&self, found: impl IntoIterator<Item = SocketAddr>) {
+        let mut peers = self.peers();
+        let before = peers.len();
+        for address in found {
+            peers.entry(address).or_insert(Peer { heard_ms: now_ms(), data_centre: None });
+        }
+        if peers.len() != before {
+            info!(self.hub.log, "other nodes found"; "kind" => "nodes", "count" => peers.len());
+        }
     }
 
-    /// Sets the other nodes.
-    pub fn set_peers(&self, mut peers: Vec<SocketAddr>) {
-        peers.sort();
-        peers.dedup();
-        let mut current = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        if *current != peers {
-            info!(self.hub.log, "other nodes changed"; "kind" => "nodes", "count" => peers.len());
-            *current = peers;
+    /// Sends changes of the list to the nodes of the own data centre.
+    pub async fn send_news(&self, news: ListNews) {
+        let bytes = message::encode_news(&news);
+        if bytes.len() > MAX_NEWS_BYTES {
+            return;
+        }
+        for peer in self.addresses(true) {
+            // A peer that is gone refuses datagrams; the next one finds out again.
+            let _ = self.socket.send_to(&bytes, peer).await;
         }
     }
 
     /// Sends reports; never returns.
     pub async fn send(self: Arc<Self>) {
+        let mut far_due = tokio::time::Instant::now();
         loop {
-            let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let report = self.hub.read(|fleet| fleet.report(now_ms()));
-            let bytes = encode(&report);
-            for peer in &peers {
-                // A peer that is gone refuses datagrams; the next report finds out again.
+            let near = self.addresses(true);
+            let far = self.addresses(false);
+            let bytes = message::encode_report(&self.hub.read(|fleet| fleet.report(now_ms())));
+            for peer in &near {
                 let _ = self.socket.send_to(&bytes, peer).await;
             }
-            tokio::time::sleep(INTERVAL.max(PER_PEER * peers.len() as u32)).await;
+            if tokio::time::Instant::now() >= far_due {
+                far_due += INTERVAL.max(PER_FAR_PEER * far.len() as u32);
+                far_due = far_due.max(tokio::time::Instant::now());
+                for peer in &far {
+                    let _ = self.socket.send_to(&bytes, peer).await;
+                }
+            }
+            tokio::time::sleep(INTERVAL.max(PER_NEAR_PEER * near.len() as u32)).await;
         }
     }
 
-    /// Reads reports; never returns.
+    /// Reads what other nodes send; never returns.
     pub async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; MAX_BYTES];
         loop {
@@ -118,55 +138,40 @@
                 tokio::task::yield_now().await;
                 continue;
             };
-            match decode(&buffer[..length]) {
-                Some(report) => self.hub.apply(Event::Peer(report)),
+            match message::decode(&buffer[..length]) {
+                Some(Envelope::Report(report)) => {
+                    let data_centre = Some(report.data_centre.clone());
+                    self.peers().insert(from, Peer { heard_ms: now_ms(), data_centre });
+                    if report.version > self.hub.read(|fleet| fleet.version()) {
+                        self.newer_configuration.notify_one();
+                    }
+                    self.hub.apply(Event::Peer(report));
+                }
+                Some(Envelope::News(news)) => {
+                    // A full queue leaves a gap, after which the list is read.
+                    let _ = self.news.try_send(news);
+                }
                 None => {
-                    if self.hub.lines.take("peer_report_invalid").is_some() {
-                        warn!(self.hub.log, "a report of another node cannot be read";
-                            "kind" => "peer_report_invalid", "from" => %from, "bytes" => length);
+                    if self.hub.lines.take("peer_message_invalid").is_some() {
+                        warn!(self.hub.log, "a message of another node cannot be read";
+                            "kind" => "peer_message_invalid", "from" => %from, "bytes" => length);
                     }
                 }
             }
         }
     }
-}
 
-fn encode(report: &PeerReport) -> Vec<u8> {
-    let loads = report.loads.iter().map(|load| Load {
-        vm: load.vm.to_string(),
-        in_flight: load.in_flight,
-        unread_tokens: load.unread_tokens,
-    });
-    let demand = report.demand.iter().map(|(model, busy_groups)| ModelDemand {
-        model: model.to_string(),
-        busy_groups: *busy_groups,
-    });
-    let lost = report
-        .lost
-        .iter()
-        .map(|(group, epoch)| LostGroup { group: group.to_string(), epoch: *epoch });
-    let report = Report {
-        node: report.node.to_string(),
-        loads: loads.collect(),
-        demand: demand.collect(),
-        lost: lost.collect(),
-    };
-    report.encode_to_vec()
-}
+    /// Returns the live nodes of the own data centre, or those of the others and those whose data
+    /// centre is not known yet.
+    fn addresses(&self, is_near: bool) -> Vec<SocketAddr> {
+        let own = self.hub.read(|fleet| fleet.settings.data_centre.clone());
+        let mut peers = self.peers();
+        peers.retain(|_, peer| now_ms() < peer.heard_ms + FORGET_MS);
+        let is_wanted = |peer: &Peer| (peer.data_centre.as_ref() == Some(&own)) == is_near;
+        peers.iter().filter(|(_, peer)| is_wanted(peer)).map(|(address, _)| *address).collect()
+    }
 
-fn decode(bytes: &[u8]) -> Option<PeerReport> {
-    let report = Report::decode(bytes).ok()?;
-    let load = |load: Load| {
-        let vm = VmName::try_from(load.vm).ok()?;
-        Some(PeerLoad { vm, in_flight: load.in_flight, unread_tokens: load.unread_tokens })
-    };
-    let demand =
-        |demand: ModelDemand| Some((ModelName::try_from(demand.model).ok()?, demand.busy_groups));
-    let lost = |lost: LostGroup| Some((GroupName::try_from(lost.group).ok()?, lost.epoch));
-    Some(PeerReport {
-        node: Arc::from(report.node),
-        loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
-        demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
-        lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
-    })
+    fn peers(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
