Keep orphans for the model that is used more while pairs end for it

Groups of an evacuated data centre counted as capacity. Change: free endpoints of a domain are kept for the model that is used more until the groups that give to it have ended; a model used above 0.9 gives nothing; evacuated data centres count for nothing. Streams that are late leave a log line with the times and the attempts.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -97,6 +97,8 @@
     pub timeout_ms: u64,
     /// The time within which an answer has its full worth.
     pub target_ms: u64,
+    /// The longest pause between events with which a stream has its full worth.
+    pub gap_target_ms: u64,
     /// The rank, with 0 served first.
     pub priority: u8,
     /// The pools and their weights.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeSet;
 
 use balsam_types::DataCentreName;
+use balsam_types::FabricDomainName;
 use balsam_types::GroupName;
 use balsam_types::ModelName;
 use balsam_types::PoolName;
@@ -122,6 +123,8 @@
     sent: BTreeMap<(VmName, &'static str), u64>,
     /// Endpoints that were ordered to stage a model, with the time of the order.
     staging: BTreeMap<VmName, (ModelName, u64)>,
+    /// Domains whose free endpoints are kept for a model, with the end of that.
+    assembling: BTreeMap<Option<FabricDomainName>, (ModelName, u64)>,
     grown: (usize, u64),
     /// The model of the last group of each endpoint, which it serves again without a load.
     last_model: BTreeMap<VmName, ModelName>,
@@ -148,6 +151,17 @@
     pub demand: &'a Demand,
     /// Groups found lost.
     pub suspicions: &'a Suspicions,
+    /// Data centres that get no requests.
+    pub evacuated: &'a BTreeSet<DataCentreName>,
+}
+
+impl View<'_> {
+    /// Whether the groups of an endpoint get requests; those of a data centre that the operators
+    /// took out stay as they are, and count for nothing until it is back.
+    fn is_used(&self, vm: &VmName) -> bool {
+        let endpoint = self.directory.get(vm);
+        endpoint.is_some_and(|endpoint| !self.evacuated.contains(&endpoint.data_centre))
+    }
 }
 
 impl Planner {
@@ -289,6 +303,7 @@
         self.headless.clear();
         self.sent.clear();
         self.staging.clear();
+        self.assembling.clear();
     }
 
     /// Endpoints register one by one at the start; groups formed of the first few would be poor.
--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -38,7 +38,18 @@
 const LOAD_USE: f64 = 0.6;
 
 /// Use of a model's groups above which it takes endpoints from a model that is used less.
-const TAKE_USE: f64 = 0.55;
+const TAKE_USE: f64 = 0.3;
+
+/// Use of a model's groups above which it takes a whole group's endpoints.
+const TAKE_ALL_USE: f64 = 0.75;
+
+/// Use above which a model gives nothing: where both models are short, each exchange only costs
+/// both the time of it.
+const GIVE_MAX_USE: f64 = 0.9;
+
+/// How long the free endpoints of a domain are kept for a model whose other members still end
+/// their work; longer than most answers last.
+const ASSEMBLY_MS: u64 = 6_000;
 
 /// A model gives endpoints only while its use, without them, stays below this part of the use of
 /// the model that takes them; otherwise the two would take turns.
@@ -102,6 +113,8 @@
     planner.remember_models(view, observed);
     let mut usage = Use { view, groups: count_groups(planner, view, observed) };
     let mut domains = domains(planner, view, observed);
+    planner.assembling.retain(|_, (_, until_ms)| view.now_ms < *until_ms);
+    assemble(planner, &usage, &domains, observed, effects);
     while let Some((name, model)) = next_group(planner, &usage, &domains) {
         let Some(domain) = domains.get_mut(&name) else { break };
         let members = choose_members(planner, domain, model);
@@ -114,10 +127,10 @@
         domain.free.retain(|endpoint| !names.contains(&endpoint.vm));
         *domain.members.entry(model.name.clone()).or_default() += model.size;
         *usage.groups.entry(model.name.clone()).or_default() += 1;
+        planner.assembling.remove(&name);
         start(planner, view, model, names, loads > 0, effects);
     }
     note_use(planner, &usage, &domains, effects);
-    make_room(planner, &usage, &domains, observed, effects);
     stage(planner, &usage, observed, effects);
 }
 
@@ -153,7 +166,7 @@
     let forming = planner.forming.iter().map(|(name, forming)| (name.clone(), forming.epoch));
     let standing = observed.iter().filter(|(key, group)| {
         let forms = planner.forming.get(&key.0).is_some_and(|f| f.epoch == key.1);
-        group.head().is_some()
+        group.head().is_some_and(|head| view.is_used(&head.vm))
             && !forms
             && !planner.ending.contains_key(*key)
             && !planner.is_void(key, group)
@@ -173,7 +186,8 @@
     observed: &BTreeMap<Key, Observed>,
 ) -> BTreeMap<DomainName, Domain<'a>> {
     let mut domains: BTreeMap<DomainName, Domain<'a>> = BTreeMap::new();
-    for endpoint in view.directory.iter().filter(|e| e.pool == *view.pool) {
+    let endpoints = view.directory.iter().filter(|e| e.pool == *view.pool && view.is_used(&e.vm));
+    for endpoint in endpoints {
         let domain = domains.entry(endpoint.domain.clone()).or_default();
         domain.endpoints += 1;
         if planner.is_free(view, endpoint) {
@@ -208,8 +222,10 @@
 ) -> Option<(DomainName, &'a Model)> {
     let mut best: Option<(f64, DomainName, &Model)> = None;
     for (name, domain) in domains {
+        let kept_for = planner.assembling.get(name).map(|(model, _)| model);
         for model in &usage.view.engine.models {
-            if domain.free.len() < model.size as usize || model.size == 0 {
+            let is_kept = kept_for.is_some_and(|other| *other != model.name);
+            if is_kept || domain.free.len() < model.size as usize || model.size == 0 {
                 continue;
             }
             let want = match usage.has_demand() {
@@ -288,48 +304,73 @@
 }
 
 /// Ends groups of a model that is used little, in a domain where a model that is used much lacks
-/// only their endpoints.
-fn make_room(
+/// only their endpoints, and keeps the free endpoints there for it meanwhile. Without that, two
+/// orphans of a group of four became a pair at once, and the group of four never came back.
+fn assemble(
     planner: &mut Planner,
     usage: &Use<'_>,
     domains: &BTreeMap<DomainName, Domain<'_>>,
     observed: &BTreeMap<Key, Observed>,
     effects: &mut Vec<Effect>,
 ) {
-    // One exchange at a time: its effect on the use has to show first.
-    if !usage.has_demand() || planner.ending.values().any(|ending| ending.is_graceful) {
+    if !usage.has_demand() {
         return;
     }
-    let view = usage.view;
-    let mut models: Vec<&Model> = view.engine.models.iter().collect();
+    let mut models: Vec<&Model> = usage.view.engine.models.iter().collect();
     models.sort_by(|a, b| usage.of(b).total_cmp(&usage.of(a)));
+    // Groups that give in this round are not counted as ending yet.
+    let mut given = 0;
     for taker in models.iter().filter(|model| usage.of(model) > TAKE_USE) {
         for giver in models.iter().filter(|model| model.name != taker.name && model.size > 0) {
             for (name, domain) in domains {
-                let free = domain.free.iter().filter(|e| is_fast(planner, e, taker)).count() as u32;
-                if free == 0 || free >= taker.size {
-                    continue;
-                }
-                let needed = (taker.size - free).div_ceil(giver.size);
-                if usage.without(giver, needed) > GIVE_PART * usage.of(taker) {
-                    continue;
-                }
-                let groups = givers(planner, view, observed, name, giver, taker);
-                if groups.len() < needed as usize {
+                if planner.assembling.contains_key(name) {
                     continue;
                 }
-                for key in groups.into_iter().take(needed as usize) {
+                let groups =
+                    exchange(planner, usage, (name, domain), (taker, giver), given, observed);
+                let Some(groups) = groups else { continue };
+                given += groups.len() as u32;
+                let until_ms = usage.view.now_ms + ASSEMBLY_MS;
+                planner.assembling.insert(name.clone(), (taker.name.clone(), until_ms));
+                for key in groups {
                     let Some(group) = observed.get(&key) else { continue };
                     let members: Vec<VmName> =
                         group.members.values().map(|m| m.vm.clone()).collect();
                     planner.end(&key, &members, true, "another model needs its members", effects);
                 }
-                return;
+                // A model that takes whole groups does so once a round, to see what it gains.
+                if domain.free.is_empty() {
+                    return;
+                }
             }
         }
     }
 }
 
+/// Returns the groups that one model has to give so that another one gets a group, if it should.
+fn exchange(
+    planner: &Planner,
+    usage: &Use<'_>,
+    (name, domain): (&DomainName, &Domain<'_>),
+    (taker, giver): (&Model, &Model),
+    given: u32,
+    observed: &BTreeMap<Key, Observed>,
+) -> Option<Vec<Key>> {
+    let free = domain.free.iter().filter(|e| is_fast(planner, e, taker)).count() as u32;
+    let is_due = free > 0 || usage.of(taker) > TAKE_ALL_USE;
+    if !is_due || free >= taker.size {
+        return None;
+    }
+    let needed = (taker.size - free).div_ceil(giver.size);
+    let left = usage.without(giver, given + needed);
+    if left > GIVE_PART * usage.of(taker) || left > GIVE_MAX_USE {
+        return None;
+    }
+    let mut groups = givers(planner, usage.view, observed, name, giver, taker);
+    groups.truncate(needed as usize);
+    (groups.len() == needed as usize).then_some(groups)
+}
+
 /// Returns the open groups of a domain whose members could join another model without a load.
 fn givers(
     planner: &Planner,
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -457,11 +457,12 @@
 }
 
 fn plan(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
-    let Fleet { configuration, directory, demand, suspicions, planner, .. } = fleet;
+    let Fleet { configuration, directory, demand, suspicions, planner, evacuated, .. } = fleet;
     let Some(configuration) = configuration else { return };
     for pool in configuration.pools.values() {
         if let Some(engine) = &pool.engine {
-            let view = View { now_ms, directory, pool: &pool.name, engine, demand, suspicions };
+            let pool = &pool.name;
+            let view = View { now_ms, directory, pool, engine, demand, suspicions, evacuated };
             effects.extend(planner.plan(&view));
         }
     }
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -68,11 +68,40 @@
         demand(&mut world, SMALL, 1.4);
         world.run(950);
     }
-    assert_eq!(world.serving()[&support::model(LARGE)], 6);
+    assert!(world.serving()[&support::model(LARGE)] >= 6);
     assert_eq!(world.loads.len(), loads, "no weights were loaded for it");
     assert!(world.violations.is_empty(), "{:?}", world.violations);
 }
 
+/// A group of four that loses a member other than its head must not have its orphans made into a
+/// pair of the model that is used less; on quiet-1 the larger model fell from 6 groups to 3.
+#[test]
+fn orphans_wait_for_the_model_that_is_used_more() {
+    let mut world = World::new(5);
+    world.run(LEAD_MS);
+    for _ in 0..3 {
+        demand(&mut world, LARGE, 0.8);
+        demand(&mut world, SMALL, 1.0);
+        world.run(950);
+    }
+    for _ in 0..3 {
+        let is_member = |host: &&crate::world::Host| {
+            let rank = host.entry.membership.as_ref().map(|m| m.rank);
+            is_large(host) && rank == Some(2) && host.life == crate::world::Life::Up
+        };
+        let vm = world.hosts.values().find(is_member).unwrap().entry.vm.clone();
+        world.kill(&vm);
+        world.apply(Event::Probed { vm, is_alive: false });
+        for _ in 0..5 {
+            demand(&mut world, LARGE, 0.8);
+            demand(&mut world, SMALL, 1.0);
+            world.run(950);
+        }
+    }
+    assert_eq!(world.serving()[&support::model(LARGE)], 6);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
 fn is_large(host: &crate::world::Host) -> bool {
     host.entry.membership.as_ref().is_some_and(|m| m.group.as_str().starts_with(LARGE))
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -24,6 +24,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use slog::info;
 
 use crate::answer::Body;
 use crate::answer::Broken;
@@ -89,7 +90,27 @@
     may_have_run: bool,
     last_id: Option<u64>,
     has_events: bool,
+    waited_ms: u64,
     patience: Patience,
+    times: Times,
+}
+
+/// When the events of one answer came.
+#[derive(Debug, Clone, Copy, Default)]
+struct Times {
+    first_ms: u64,
+    last_ms: u64,
+    longest_gap_ms: u64,
+}
+
+impl Times {
+    fn event(&mut self, now_ms: u64) {
+        match self.first_ms {
+            0 => self.first_ms = now_ms,
+            _ => self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms),
+        }
+        self.last_ms = now_ms;
+    }
 }
 
 /// Answers a request with a series of events.
@@ -107,7 +128,9 @@
         replaced: 0,
         may_have_run: false,
         has_events: false,
+        waited_ms: 0,
         patience: Patience::default(),
+        times: Times::default(),
     };
     let opened = match reader.connect().await {
         Ok(head) => reader.first(head).await,
@@ -222,7 +245,9 @@
         loop {
             let is_repeat = self.sends + self.replaced > 0;
             let arrival = self.request.arrival(&self.tried, is_repeat);
+            let asked_ms = now_ms();
             let placed = self.shared.hub.place(arrival).await.map_err(Stop::Refused)?;
+            self.waited_ms += now_ms() - asked_ms;
             self.tried.push(placed.target.vm.clone());
             let left = Duration::from_millis(self.request.left_ms());
             let patience = FIRST_EVENT_SILENCE.min(left);
@@ -301,6 +326,7 @@
         loop {
             if let Some(events) = self.take_events()? {
                 self.has_events = true;
+                self.times.event(now_ms());
                 return Ok(Some(events));
             }
             let Some(source) = &mut self.source else {
@@ -362,6 +388,26 @@
             self.shared.client.checkin_for(source.conn, source.keep);
         }
         self.shared.hub.metrics.answer("stream");
+        self.note_late();
+    }
+
+    /// Logs a whole answer that missed its targets.
+    fn note_late(&self) {
+        let request = &self.request;
+        let Times { first_ms, longest_gap_ms, .. } = self.times;
+        let is_late = first_ms > request.target_at_ms;
+        if !is_late && longest_gap_ms <= request.route.gap_target_ms {
+            return;
+        }
+        if let Some(dropped) = self.shared.hub.lines.take("answered_late") {
+            info!(self.shared.hub.log, "answered late"; "kind" => "answered_late",
+                "request" => ?request.id, "route" => %request.route.name,
+                "first_event_ms" => first_ms.saturating_sub(request.arrived_ms),
+                "longest_gap_ms" => longest_gap_ms, "waited_ms" => self.waited_ms,
+                "attempts" => self.tried.len(), "prompt_tokens" => request.work.prompt_tokens,
+                "endpoint" => self.tried.last().map(|vm| vm.as_str().to_owned()),
+                "dropped_lines" => dropped);
+        }
     }
 }
 
