Keep the right to plan with its holder

Cause: the right followed the members of a group of the store, which deals its parts anew with every node that comes or goes: eleven changes in 13 s of a rolling stop, each with the loss of a second's plans and groups that were ended twice. Ruled out: planning without a right; two planners put an endpoint into two groups. Change: a chain of records, each appended on condition that the one before is the last; the holder renews it, others hear of it in the nodes' reports and take it after 1.8 s without a record, or at once when it was given up. The position of a term's first record fences its orders.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -13,6 +13,7 @@
 
 use crate::configuration::Configuration;
 use crate::directory::ListChange;
+use crate::lease::Last;
 
 /// Names one attempt of a request within this node.
 pub type Ticket = u64;
@@ -51,8 +52,8 @@
         /// Whether it answered in time.
         is_alive: bool,
     },
-    /// This node plans for the fleet until the given time, or no longer.
-    Lead(Option<Leadership>),
+    /// A call about the right to plan ended.
+    Lease(LeaseNews),
     /// An order was answered, or was not answered in time.
     OrderAnswered {
         /// The endpoint.
@@ -66,6 +67,34 @@
     Tick,
 }
 
+/// What came of a call about the right to plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseNews {
+    /// The records were read.
+    Read {
+        /// The position after the last one.
+        end: u64,
+        /// Who appended it.
+        last: Last,
+    },
+    /// This node's record was appended.
+    Appended {
+        /// When the call was sent.
+        sent_ms: u64,
+        /// The position of the record.
+        at: u64,
+    },
+    /// Another record came first.
+    Refused {
+        /// The position after the last record.
+        end: u64,
+    },
+    /// No answer came.
+    Unanswered,
+    /// This node gives the right up.
+    Released,
+}
+
 /// The right to give orders to endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Leadership {
@@ -174,6 +203,10 @@
     pub data_centre: DataCentreName,
     /// The version of the configuration that it has in force; zero before the first.
     pub version: u64,
+    /// The position after the last known record of the right to plan.
+    pub lease_end: u64,
+    /// Whether that record gives the right up.
+    pub lease_released: bool,
     /// Its requests by endpoint.
     pub loads: Vec<PeerLoad>,
     /// The work that callers bring to it, by model.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod event;
 pub mod formation;
+pub mod lease;
 pub mod load;
 pub mod placement;
 pub mod planner;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -18,6 +18,8 @@
 use crate::event::AttemptEnd;
 use crate::event::Effect;
 use crate::event::Event;
+use crate::event::Leadership;
+use crate::event::LeaseNews;
 use crate::event::LostGroup;
 use crate::event::Note;
 use crate::event::OrderAnswer;
@@ -73,10 +75,7 @@
                 lose_groups_of(fleet, now_ms, &vm, &mut effects);
             }
         }
-        Event::Lead(leadership) => {
-            let note = fleet.planner.lead(now_ms, leadership);
-            effects.extend(note.map(Effect::Note));
-        }
+        Event::Lease(news) => lease(fleet, now_ms, news, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
             if matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused) {
                 heard(fleet, now_ms, &vm);
@@ -94,6 +93,25 @@
     }
 }
 
+fn lease(fleet: &mut Fleet, now_ms: u64, news: LeaseNews, effects: &mut Vec<Effect>) {
+    match news {
+        LeaseNews::Read { end, last } => fleet.lease.read(now_ms, end, last),
+        LeaseNews::Appended { sent_ms, at } => fleet.lease.appended(now_ms, sent_ms, at),
+        LeaseNews::Refused { end } => fleet.lease.refused(now_ms, end),
+        LeaseNews::Unanswered => fleet.lease.unanswered(),
+        LeaseNews::Released => _ = fleet.lease.release(now_ms),
+    }
+    follow_lease(fleet, now_ms, effects);
+}
+
+/// Lets the planner know whether this node may give orders.
+fn follow_lease(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    let held = fleet.lease.held(now_ms);
+    let leadership = held.map(|(generation, until_ms)| Leadership { generation, until_ms });
+    let note = fleet.planner.lead(now_ms, leadership);
+    effects.extend(note.map(Effect::Note));
+}
+
 fn configure(fleet: &mut Fleet, configuration: Arc<Configuration>, effects: &mut Vec<Effect>) {
     let is_newer = fleet.configuration.as_ref().is_none_or(|old| configuration.replaces(old));
     if !is_newer {
@@ -311,6 +329,7 @@
     let PeerReport { node, data_centre, .. } = &report;
     fleet.peers.insert(node.clone(), Peer { heard_ms: now_ms, data_centre: data_centre.clone() });
     fleet.loads.report(now_ms, &report);
+    fleet.lease.heard(now_ms, report.lease_end, report.lease_released);
     for lost in &report.lost {
         if !fleet.suspicions.is_lost(&lost.group, lost.epoch) {
             ask_member(fleet, now_ms, lost, effects);
@@ -381,6 +400,7 @@
         forget(fleet, now_ms, gone, "not listed again", effects);
         refresh(fleet);
     }
+    follow_lease(fleet, now_ms, effects);
     fill_cold(fleet, now_ms);
     watch_heads(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -16,6 +16,7 @@
 use crate::event::PeerLoad;
 use crate::event::PeerReport;
 use crate::event::Ticket;
+use crate::lease::Lease;
 use crate::load::LoadBook;
 use crate::planner::Planner;
 use crate::serving::Kind;
@@ -46,6 +47,13 @@
     pub data_centre: DataCentreName,
 }
 
+/// The right to plan lasts for this long without a renewal: longer than a slow answer of the store,
+/// and short against the time in which lost groups pile up.
+const LEASE_TTL_MS: u64 = 1_800;
+
+/// Pause between two renewals.
+const LEASE_RENEW_MS: u64 = 600;
+
 /// Part of the retry budget that is used: nodes disagree for a while on how many they are.
 const BUDGET_SHARE: f64 = 0.6;
 
@@ -70,6 +78,8 @@
     pub demand: Demand,
     /// Groups that stand still.
     pub suspicions: Suspicions,
+    /// The right to give orders.
+    pub lease: Lease,
     /// The orders to endpoints.
     pub planner: Planner,
     pub(crate) budgets: BTreeMap<PoolName, RetryBudget>,
@@ -90,6 +100,7 @@
             waiting: Waiting::default(),
             demand: Demand::default(),
             suspicions: Suspicions::default(),
+            lease: Lease::new(LEASE_TTL_MS, LEASE_RENEW_MS),
             planner: Planner::default(),
             budgets: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -143,6 +154,8 @@
             node: self.settings.node.clone(),
             data_centre: self.settings.data_centre.clone(),
             version: self.version(),
+            lease_end: self.lease.end(),
+            lease_released: self.lease.is_released(),
             loads: loads.collect(),
             demand: self.demand.own(now_ms),
             lost: self.suspicions.lost().collect(),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod groups;
+mod lease;
 mod load;
 mod support;
 mod waiting;
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -11,7 +11,7 @@
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::endpoint::MemberState;
 use balsam_fleet::endpoint::Membership;
-use balsam_fleet::event::Leadership;
+use balsam_fleet::event::LeaseNews;
 use balsam_fleet::event::OrderAnswer;
 use balsam_fleet::reduce;
 use balsam_types::DataCentreName;
@@ -184,8 +184,11 @@
             host.become_due(now_ms);
         }
         self.deliver();
-        let leadership = Leadership { generation: self.generation, until_ms: now_ms + 1_000 };
-        self.apply(Event::Lead(Some(leadership)));
+        if self.fleet.lease.held(now_ms + 500).is_none() {
+            // Each planner begins at a higher position of the records.
+            let at = self.generation * 1_000 + now_ms / 500;
+            self.apply(Event::Lease(LeaseNews::Appended { sent_ms: now_ms, at }));
+        }
         if now_ms % 200 == 0 {
             self.list();
         }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -43,6 +43,10 @@
     data_centre: String,
     #[prost(uint64, tag = "6")]
     version: u64,
+    #[prost(uint64, tag = "7")]
+    lease_end: u64,
+    #[prost(bool, tag = "8")]
+    lease_released: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -106,6 +110,8 @@
         lost: lost.collect(),
         data_centre: report.data_centre.to_string(),
         version: report.version,
+        lease_end: report.lease_end,
+        lease_released: report.lease_released,
     };
     Datagram { report: Some(report), news: None }.encode_to_vec()
 }
@@ -144,6 +150,8 @@
         node: Arc::from(report.node),
         data_centre: DataCentreName::try_from(report.data_centre).ok()?,
         version: report.version,
+        lease_end: report.lease_end,
+        lease_released: report.lease_released,
         loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
         lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
