--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -194,13 +194,13 @@
     pub fn pool(&self, draw: f64) -> Option<&PoolName> {
         let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
         let mut left = draw * total;
-        let weighted = self.split.iter().filter(|(_, weight)| *weight > 0);
+        let mut weighted = self.split.iter().filter(|(_, weight)| *weight > 0);
         for (pool, weight) in weighted.clone() {
             left -= f64::from(*weight);
             if left < 0.0 {
                 return Some(pool);
             }
         }
-        weighted.last().map(|(pool, _)| pool)
+        weighted.next_back().map(|(pool, _)| pool)
     }
 }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -30,9 +30,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
     own: BTreeMap<ModelName, (u64, f64)>,
-    peers: BTreeMap<Arc<str>, (u64, Vec<(ModelName, f64)>)>,
+    peers: BTreeMap<Arc<str>, PeerDemand>,
 }
 
+/// The figures of another node, with the time at which they came.
+type PeerDemand = (u64, Vec<(ModelName, f64)>);
+
 impl Demand {
     /// Counts the work of a request that arrived at this node.
     pub fn arrived(&mut self, now_ms: u64, model: &ModelName, work_ms: f64) {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -7,7 +7,9 @@
 //! without it. See `docs/decisions/0008-platform.md`.
 
 mod allocate;
+mod ending;
 mod pace;
+mod review;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -396,177 +398,6 @@
         }
     }
 
-    /// Looks at the groups that neither form nor end by this node's orders.
-    fn review(
-        &mut self,
-        view: &View<'_>,
-        observed: &BTreeMap<Key, Observed>,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.headless.retain(|key, _| observed.contains_key(key));
-        for (key, group) in observed {
-            let is_ours = self.forming.get(&key.0).is_some_and(|f| f.epoch == key.1);
-            if is_ours || self.ending.contains_key(key) || self.is_void(key, group) {
-                continue;
-            }
-            let Some(model) = formation::model_of(&key.0, view.engine) else { continue };
-            let size = model.size;
-            let Some(head) = group.head() else {
-                self.review_headless(view, key, group, effects);
-                continue;
-            };
-            let members: Vec<VmName> = group.members.values().map(|m| m.vm.clone()).collect();
-            let dead = self.dead_member(group);
-            let is_draining = group.members.values().any(|m| m.is_draining);
-            match head.state {
-                MemberState::Open if dead.is_some() => {
-                    self.end(key, &members, false, "a member is dead", effects);
-                }
-                MemberState::Open if view.suspicions.stands_still(&key.0, key.1) => {
-                    self.end(key, &members, false, "it stands still", effects);
-                }
-                MemberState::Open if is_draining => {
-                    self.end(key, &members, true, "a member leaves", effects);
-                }
-                MemberState::Open | MemberState::Closing => {}
-                MemberState::Broken => {
-                    self.end(key, &members, false, "it is broken", effects);
-                }
-                MemberState::Joining | MemberState::Ready
-                    if group.is_complete(size) && dead.is_none() && !is_draining =>
-                {
-                    self.adopt(view.now_ms, key, group, model.name.clone());
-                }
-                MemberState::Joining | MemberState::Ready => {
-                    self.end(key, &members, false, "it is incomplete", effects);
-                }
-            }
-        }
-    }
-
-    /// Takes over a group that the node before began to form.
-    fn adopt(&mut self, now_ms: u64, key: &Key, group: &Observed, model: ModelName) {
-        let members: Vec<VmName> = group.members.values().map(|m| m.vm.clone()).collect();
-        let forming = Forming {
-            epoch: key.1,
-            model,
-            joined: members.iter().cloned().collect(),
-            members,
-            started_ms: now_ms,
-            limit_ms: 2 * JOIN_MARGIN_MS,
-            is_opening: false,
-        };
-        self.forming.insert(key.0.clone(), forming);
-    }
-
-    fn review_headless(
-        &mut self,
-        view: &View<'_>,
-        key: &Key,
-        group: &Observed,
-        effects: &mut Vec<Effect>,
-    ) {
-        let members: Vec<VmName> = group.members.values().map(|m| m.vm.clone()).collect();
-        let is_head = |endpoint: &Endpoint| {
-            let membership = endpoint.membership.as_ref();
-            membership.is_some_and(|m| m.rank == 0 && m.group == key.0 && m.epoch == key.1)
-        };
-        let head = self.departed.values().find(|(_, e)| is_head(e)).map(|(_, e)| e.clone());
-        if let Some(head) = head {
-            // An order that waits behind a cut would end a group that serves again by then.
-            if !self.hears(view.now_ms, &head.data_centre) {
-                return;
-            }
-            let head = head.vm;
-            let members: Vec<VmName> = [head].into_iter().chain(members).collect();
-            self.end(key, &members, false, "its head is gone", effects);
-            return;
-        }
-        let head = self.heads.get(key).map(|(head, _)| head.clone());
-        if head.is_some_and(|head| self.has_left(view, key, &head)) {
-            members.iter().for_each(|vm| _ = self.freed.insert(vm.clone(), key.1));
-            return;
-        }
-        let since_ms = *self.headless.entry(key.clone()).or_insert(view.now_ms);
-        if view.now_ms >= since_ms + HEADLESS_MS {
-            members.iter().for_each(|vm| _ = self.freed.insert(vm.clone(), key.1));
-        }
-    }
-
-    /// Starts to end a group; the first member is its head.
-    fn end(
-        &mut self,
-        key: &Key,
-        members: &[VmName],
-        is_graceful: bool,
-        reason: &'static str,
-        effects: &mut Vec<Effect>,
-    ) {
-        let ending = Ending {
-            head: members[0].clone(),
-            members: members.iter().cloned().collect(),
-            is_graceful,
-            has_refused: false,
-            refused: 0,
-            unanswered: 0,
-        };
-        self.ending.insert(key.clone(), ending);
-        let (group, epoch) = key.clone();
-        effects.push(Effect::Note(Note::GroupDissolving { group, epoch, reason }));
-    }
-
-    fn follow_ending(
-        &mut self,
-        view: &View<'_>,
-        observed: &BTreeMap<Key, Observed>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let keys: Vec<Key> = self.ending.keys().cloned().collect();
-        for key in keys {
-            let Some(ending) = self.ending.get(&key).cloned() else { continue };
-            let is_listed = view.directory.get(&ending.head).is_some();
-            let is_silent = !is_listed && ending.unanswered >= HEAD_UNANSWERED;
-            let has_left = ending.has_refused && self.has_left(view, &key, &ending.head);
-            if is_silent || has_left || ending.refused >= HEAD_REFUSED {
-                self.release(&key);
-                continue;
-            }
-            if !is_listed {
-                // An answer of another member shows that this node is not the one cut off.
-                self.probe_members(view, &ending, effects);
-            }
-            let head = observed.get(&key).and_then(Observed::head);
-            let still_works = head
-                .is_some_and(|head| matches!(head.state, MemberState::Open | MemberState::Closing));
-            let (group, epoch) = key;
-            let order = match ending.is_graceful && still_works {
-                true if head.is_some_and(|head| head.state == MemberState::Closing) => continue,
-                true => Order::Close { group, epoch },
-                false => Order::Leave { group, epoch },
-            };
-            self.order(view, &ending.head, order, effects);
-        }
-    }
-
-    /// Whether the list shows the head of a group without its membership.
-    fn has_left(&self, view: &View<'_>, key: &Key, head: &VmName) -> bool {
-        view.directory.get(head).is_some_and(|endpoint| {
-            let membership = endpoint.membership.as_ref();
-            membership.is_none_or(|m| m.group != key.0 || m.epoch != key.1)
-        })
-    }
-
-    fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
-        for vm in ending.members.iter().filter(|vm| **vm != ending.head) {
-            let Some(endpoint) = view.directory.get(vm) else { continue };
-            let sent = (vm.clone(), PROBE);
-            if !self.sent.contains_key(&sent) {
-                self.sent.insert(sent, view.now_ms);
-                effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
-            }
-        }
-    }
-
     /// Remembers which model each endpoint served last.
     fn remember_models(&mut self, view: &View<'_>, observed: &BTreeMap<Key, Observed>) {
         self.last_model.retain(|vm, _| view.directory.get(vm).is_some());
@@ -580,15 +411,6 @@
         }
     }
 
-    /// Makes the members of a group free, since its head serves it no more.
-    fn release(&mut self, key: &Key) {
-        if let Some(ending) = self.ending.remove(key) {
-            for vm in ending.members {
-                self.freed.insert(vm, key.1);
-            }
-        }
-    }
-
     /// Whether all listed members of a group were freed.
     fn is_void(&self, key: &Key, group: &Observed) -> bool {
         group.members.values().all(|m| self.freed.get(&m.vm).is_some_and(|epoch| key.1 <= *epoch))
--- /dev/null
+++ b/crates/fleet/src/planner/ending.rs
@@ -0,0 +1,104 @@
+//! How a group ends, until its members may join another one.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
+use balsam_types::VmName;
+
+use super::Ending;
+use super::HEAD_REFUSED;
+use super::HEAD_UNANSWERED;
+use super::Key;
+use super::PROBE;
+use super::Planner;
+use super::View;
+use crate::endpoint::MemberState;
+use crate::event::Effect;
+use crate::event::Note;
+use crate::event::Order;
+use crate::formation::Observed;
+
+impl Planner {
+    /// Starts to end a group; the first member is its head.
+    pub(super) fn end(
+        &mut self,
+        key: &Key,
+        members: &[VmName],
+        is_graceful: bool,
+        reason: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ending = Ending {
+            head: members[0].clone(),
+            members: members.iter().cloned().collect(),
+            is_graceful,
+            has_refused: false,
+            refused: 0,
+            unanswered: 0,
+        };
+        self.ending.insert(key.clone(), ending);
+        let (group, epoch) = key.clone();
+        effects.push(Effect::Note(Note::GroupDissolving { group, epoch, reason }));
+    }
+
+    pub(super) fn follow_ending(
+        &mut self,
+        view: &View<'_>,
+        observed: &BTreeMap<Key, Observed>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let keys: Vec<Key> = self.ending.keys().cloned().collect();
+        for key in keys {
+            let Some(ending) = self.ending.get(&key).cloned() else { continue };
+            let is_listed = view.directory.get(&ending.head).is_some();
+            let is_silent = !is_listed && ending.unanswered >= HEAD_UNANSWERED;
+            let has_left = ending.has_refused && self.has_left(view, &key, &ending.head);
+            if is_silent || has_left || ending.refused >= HEAD_REFUSED {
+                self.release(&key);
+                continue;
+            }
+            if !is_listed {
+                // An answer of another member shows that this node is not the one cut off.
+                self.probe_members(view, &ending, effects);
+            }
+            let head = observed.get(&key).and_then(Observed::head);
+            let still_works = head
+                .is_some_and(|head| matches!(head.state, MemberState::Open | MemberState::Closing));
+            let (group, epoch) = key;
+            let order = match ending.is_graceful && still_works {
+                true if head.is_some_and(|head| head.state == MemberState::Closing) => continue,
+                true => Order::Close { group, epoch },
+                false => Order::Leave { group, epoch },
+            };
+            self.order(view, &ending.head, order, effects);
+        }
+    }
+
+    /// Whether the list shows the head of a group without its membership.
+    pub(super) fn has_left(&self, view: &View<'_>, key: &Key, head: &VmName) -> bool {
+        view.directory.get(head).is_some_and(|endpoint| {
+            let membership = endpoint.membership.as_ref();
+            membership.is_none_or(|m| m.group != key.0 || m.epoch != key.1)
+        })
+    }
+
+    fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
+        for vm in ending.members.iter().filter(|vm| **vm != ending.head) {
+            let Some(endpoint) = view.directory.get(vm) else { continue };
+            let sent = (vm.clone(), PROBE);
+            if let Entry::Vacant(unsent) = self.sent.entry(sent) {
+                unsent.insert(view.now_ms);
+                effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
+            }
+        }
+    }
+
+    /// Makes the members of a group free, since its head serves it no more.
+    pub(super) fn release(&mut self, key: &Key) {
+        if let Some(ending) = self.ending.remove(key) {
+            for vm in ending.members {
+                self.freed.insert(vm, key.1);
+            }
+        }
+    }
+}
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -189,7 +189,7 @@
             let at = self.generation * 1_000 + now_ms / 500;
             self.apply(Event::Lease(LeaseNews::Appended { sent_ms: now_ms, at }));
         }
-        if now_ms % 200 == 0 {
+        if now_ms.is_multiple_of(200) {
             self.list();
         }
         self.hear();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,6 +1,6 @@
 //! The request path of an entry node in front of a fleet of endpoints.
 //!
-//! [`Hub`] owns the decisions of `balsam_fleet` and carries out their effects; [`serve`] accepts
+//! [`Hub`] owns the decisions of `balsam_fleet` and carries out their effects; [`Front`] accepts
 //! callers' connections. What differs between platforms stands in [`Dialect`] and [`EndpointCalls`].
 //! See `docs/decisions/0008-platform.md`.
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -58,7 +58,7 @@
     Refused(Refusal),
     Failed(Failure),
     /// The endpoint answered with something else than a stream.
-    Answer(EndpointAnswer),
+    Answer(Box<EndpointAnswer>),
 }
 
 /// What reading gave.
@@ -138,7 +138,7 @@
     };
     match opened {
         Ok((head, first)) => Ok(reader.into_response(head, first)),
-        Err(Stop::Answer(answer)) => Ok(pass_on(answer)),
+        Err(Stop::Answer(answer)) => Ok(pass_on(*answer)),
         Err(Stop::Failed(failure)) => Err(failure),
         Err(Stop::Refused(refusal)) => {
             shared.hub.metrics.refusal(refusal.reason.as_str());
@@ -317,7 +317,8 @@
         if self.has_events {
             return Ok(Some(Stop::Failed(Failure::MayHaveRun)));
         }
-        Ok(Some(Stop::Answer(EndpointAnswer { status, headers, body: whole.freeze() })))
+        let answer = EndpointAnswer { status, headers, body: whole.freeze() };
+        Ok(Some(Stop::Answer(Box::new(answer))))
     }
 
     /// Reads until at least one event is whole; returns all events that are.
