Log what decided a refusal

Cause: a refused request left a line without the reason, the places or the age of what was known. Change: one line with the reason, the time to come back, servers, waiting requests, live nodes, the age of the list and the version; bounded like the others. Conclusion: the path from an id to the cause needs no other source.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use balsam_fleet::Refusal;
 use balsam_fleet::configuration::RouteKind;
+use balsam_fleet::serving::Kind;
 use balsam_http::Client;
 use balsam_http::ClientOptions;
 use balsam_types::VmName;
@@ -287,6 +289,29 @@
         }
     }
 
+    /// Logs a refusal with what decided it, and counts it.
+    pub fn note_refusal(&self, request: &Request, refusal: &Refusal) {
+        self.hub.metrics.refusal(refusal.reason.as_str());
+        let Some(dropped) = self.hub.lines.take("refused") else { return };
+        let now_ms = now_ms();
+        let (servers, waiting, nodes, list_age_ms, version) = self.hub.read(|fleet| {
+            let kind = Kind { pool: request.pool.clone(), model: request.work.model.clone() };
+            (
+                fleet.serving.of(&kind).len(),
+                fleet.waiting.len(),
+                fleet.nodes(now_ms),
+                fleet.directory.age_ms(now_ms),
+                fleet.version(),
+            )
+        });
+        info!(self.hub.log, "no endpoint takes the request"; "kind" => "refused",
+            "request" => ?request.id, "route" => %request.route.name,
+            "reason" => refusal.reason.as_str(), "retry_after_ms" => refusal.retry_after_ms,
+            "age_ms" => now_ms - request.arrived_ms, "servers" => servers, "waiting" => waiting,
+            "nodes" => nodes, "list_age_ms" => list_age_ms, "version" => version,
+            "dropped_lines" => dropped);
+    }
+
     /// Logs the end of a request without a whole answer.
     pub fn note_end(&self, request: &Request, kind: &'static str, outcome: &str) {
         if let Some(dropped) = self.hub.lines.take(kind) {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -40,7 +40,7 @@
         let placed = match shared.hub.place(arrival).await {
             Ok(placed) => placed,
             Err(refusal) => {
-                shared.hub.metrics.refusal(refusal.reason.as_str());
+                shared.note_refusal(request, &refusal);
                 return give_up(request, failed, &state, refusal.retry_after_ms);
             }
         };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -141,7 +141,7 @@
         Err(Stop::Answer(answer)) => Ok(pass_on(*answer)),
         Err(Stop::Failed(failure)) => Err(failure),
         Err(Stop::Refused(refusal)) => {
-            shared.hub.metrics.refusal(refusal.reason.as_str());
+            shared.note_refusal(&reader.request, &refusal);
             Err(match reader.may_have_run {
                 true => Failure::MayHaveRun,
                 false => Failure::NotRun { retry_after_ms: refusal.retry_after_ms },
