Write request ids in logs as they are sent

Cause: the id of a request stood in quotes within quotes, so that a search for the whole field failed. Conclusion: an id from a caller's report finds its lines.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -282,7 +282,7 @@
     pub fn note_failure(&self, request: &Request, tried: &[VmName], failure: &AttemptFailure) {
         if let Some(dropped) = self.hub.lines.take("attempt_failed") {
             info!(self.hub.log, "attempt failed"; "kind" => "attempt_failed",
-                "request" => ?request.id, "route" => %request.route.name,
+                "request" => request.id_text(), "route" => %request.route.name,
                 "endpoint" => tried.last().map(|vm| vm.as_str().to_owned()),
                 "failure" => ?failure, "age_ms" => now_ms() - request.arrived_ms,
                 "dropped_lines" => dropped);
@@ -305,7 +305,7 @@
             )
         });
         info!(self.hub.log, "no endpoint takes the request"; "kind" => "refused",
-            "request" => ?request.id, "route" => %request.route.name,
+            "request" => request.id_text(), "route" => %request.route.name,
             "reason" => refusal.reason.as_str(), "retry_after_ms" => refusal.retry_after_ms,
             "age_ms" => now_ms - request.arrived_ms, "servers" => servers, "waiting" => waiting,
             "nodes" => nodes, "list_age_ms" => list_age_ms, "version" => version,
@@ -316,7 +316,7 @@
     pub fn note_end(&self, request: &Request, kind: &'static str, outcome: &str) {
         if let Some(dropped) = self.hub.lines.take(kind) {
             info!(self.hub.log, "request ended without an answer"; "kind" => kind,
-                "request" => ?request.id, "route" => %request.route.name, "outcome" => outcome,
+                "request" => request.id_text(), "route" => %request.route.name, "outcome" => outcome,
                 "age_ms" => now_ms() - request.arrived_ms, "left_ms" => request.left_ms(),
                 "dropped_lines" => dropped);
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the id for logs.
+    pub fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("(not printable)")
+    }
+
     /// Returns the time left until the deadline.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms())
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -402,7 +402,7 @@
         }
         if let Some(dropped) = self.shared.hub.lines.take("answered_late") {
             info!(self.shared.hub.log, "answered late"; "kind" => "answered_late",
-                "request" => ?request.id, "route" => %request.route.name,
+                "request" => request.id_text(), "route" => %request.route.name,
                 "first_event_ms" => first_ms.saturating_sub(request.arrived_ms),
                 "longest_gap_ms" => longest_gap_ms, "waited_ms" => self.waited_ms,
                 "attempts" => self.tried.len(), "prompt_tokens" => request.work.prompt_tokens,
