Explain a request from the nodes' logs with balsamctl

Cause: the path from a request's id to its cause was a search by hand over the logs of six nodes. Change: balsamctl explain request ID shows the lines of a request with what its node and the planning node decided within 2 s of them, from files or standard input, without a node or a token; a test of the command line.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -2,6 +2,9 @@
 
 use std::ffi::OsString;
 use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -14,6 +17,7 @@
 use crate::error::ReadSnafu;
 use crate::error::UsageSnafu;
 use crate::help;
+use crate::request_log;
 use crate::spec;
 
 /// Entries of the audit trail shown unless `--last` says otherwise.
@@ -51,6 +55,8 @@
                 required kind: String
                 /// Its name.
                 required name: String
+                /// A log of a node, for a request; standard input without one.
+                repeated --log log: PathBuf
             }
             /// Carries out a plan.
             cmd confirm {
@@ -148,16 +154,38 @@
     }
     let raw = flags::Balsamctl::from_vec(arguments.clone())
         .map_err(|error| CtlError::Usage { message: error.to_string() })?;
+    if let flags::BalsamctlCmd::Explain(explain) = &raw.subcommand
+        && explain.kind == "request"
+    {
+        return explain_request(&explain.name, &explain.log).map(Parsed::Text);
+    }
     check(raw).map(Parsed::Run)
 }
 
+/// Explains a request from logs, which needs no entry node and no token.
+fn explain_request(id: &str, logs: &[PathBuf]) -> Result<String, CtlError> {
+    let explained = match logs {
+        [] => request_log::explain(id, std::io::stdin().lock()),
+        logs => {
+            let mut all: Box<dyn BufRead> = Box::new(std::io::empty());
+            for path in logs {
+                let file = fs::File::open(path).context(ReadSnafu { path })?;
+                all = Box::new(all.chain(BufReader::new(file)));
+            }
+            request_log::explain(id, all)
+        }
+    };
+    let message = format!("no line of the logs names the request {id:?}");
+    explained.ok_or(CtlError::NotNamed { message })
+}
+
 /// Returns the words that are neither options nor their values.
 fn positional<'a>(words: &[&'a str]) -> Vec<&'a str> {
     let mut found = Vec::new();
     let mut rest = words.iter();
     while let Some(word) = rest.next() {
         match *word {
-            "--node" | "--token-file" | "--reason" | "--last" => _ = rest.next(),
+            "--node" | "--token-file" | "--reason" | "--last" | "--log" => _ = rest.next(),
             word if word.starts_with('-') => {}
             word => found.push(word),
         }
@@ -220,7 +248,10 @@
             UsageSnafu { message: format!("{name:?}: expected ORGANISATION/KEY") }.fail()
         }
         // `help::correction` refuses other kinds with a suggestion.
-        _ => UsageSnafu { message: format!("{kind:?}: expected group, vm or request-key") }.fail(),
+        _ => {
+            UsageSnafu { message: format!("{kind:?}: expected group, vm, request-key or request") }
+                .fail()
+        }
     }
 }
 
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -28,6 +28,12 @@
         /// What is wrong and what was expected.
         message: String,
     },
+    /// The logs do not name what was asked for.
+    #[snafu(display("{message}"))]
+    NotNamed {
+        /// What was asked for.
+        message: String,
+    },
     /// A file could not be read.
     #[snafu(display("{}: reading the file: {source}", path.display()))]
     Read {
@@ -148,6 +154,7 @@
             | Self::Refused { .. }
             | Self::Ended { .. }
             | Self::NotFound { .. }
+            | Self::NotNamed { .. }
             | Self::Io { .. } => EXIT_FAILED,
         }
     }
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -18,6 +18,9 @@
   explain vm NAME             what is known of a VM
   explain request-key ORGANISATION/KEY
                               whether a request with an Idempotency-Key ran
+  explain request ID [--log FILE]...
+                              what the nodes' logs say of a request on the operators' platform;
+                              reads standard input without a file, and needs no node and no token
 
 Change (each needs --reason TEXT):
   plan INTENT...              make a plan; prints its steps and the command that confirms it
@@ -81,7 +84,7 @@
     "move",
 ];
 
-const SUBJECTS: [&str; 3] = ["group", "vm", "request-key"];
+const SUBJECTS: [&str; 4] = ["group", "vm", "request-key", "request"];
 
 /// Returns what may have been meant, if one of the words is not a command where one is expected.
 pub fn correction(words: &[&str]) -> Option<String> {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod help;
 mod render;
+mod request_log;
 mod spec;
 mod table;
 mod view;
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -322,3 +322,29 @@
     let confirmed = |line: &Value| line["drained"] == true && line["drain_unconfirmed"] == false;
     wait_for(&nodes, "hu-east-b", confirmed).await;
 }
+
+/// The cause of a failed request must follow from logs alone, when no node answers any more.
+#[tokio::test]
+async fn a_request_is_explained_from_logs() {
+    let line = |second: u32, node: &str, rest: &str| {
+        format!("{{\"ts\":\"2026-01-03T20:46:{second:02}.5Z\",\"node\":\"{node}\",{rest}}}\n")
+    };
+    let log = [
+        line(30, "n1", "\"kind\":\"group_lost\",\"group\":\"early.1\""),
+        line(35, "n2", "\"kind\":\"group_lost\",\"group\":\"elsewhere.1\""),
+        line(35, "n1", "\"kind\":\"group_lost\",\"group\":\"m.7\",\"member\":\"i-9\""),
+        "text of another program\n".to_owned(),
+        line(36, "n1", "\"kind\":\"stream_cut\",\"request\":\"r-1\",\"outcome\":\"may_have_run\""),
+        line(36, "n1", "\"kind\":\"stream_cut\",\"request\":\"r-2\",\"outcome\":\"timed_out\""),
+    ];
+    let mut file = NamedTempFile::new().unwrap();
+    file.write_all(log.concat().as_bytes()).unwrap();
+    let path = file.path().to_str().unwrap();
+    let found = ctl(&[], &["explain", "request", "r-1", "--log", path]).await.expect(0);
+    let lines: Vec<&str> = found.out.lines().collect();
+    assert_eq!(lines.len(), 2, "{}", found.out);
+    assert!(lines[0].contains("-1000 ms") && lines[0].contains("member=i-9"), "{}", found.out);
+    assert!(lines[1].starts_with('>') && lines[1].contains("outcome=may_have_run"));
+    let missing = ctl(&[], &["explain", "request", "r-3", "--log", path]).await.expect(1);
+    assert!(missing.err.contains("r-3"), "{}", missing.err);
+}
