Count news without changes as reads of the list

The list has no record of heartbeats without news; followers ignored reads that found none, took the list for away and kept the endpoint for the grace of an outage. Ruled out: lost datagrams and a reader that lagged; positions of reader and follower were equal. Change: such news count as a read; a log line tells when the list was away.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -398,6 +398,11 @@
         /// Its version.
         version: u64,
     },
+    /// The list of endpoints was read again after it had been away.
+    ListReturned {
+        /// How long it was not read.
+        away_ms: u64,
+    },
     /// An endpoint is no longer used.
     EndpointGone {
         /// The endpoint.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Configuration;
 use crate::configuration::Engine;
 use crate::demand;
+use crate::directory::LIST_SILENCE_MS;
 use crate::directory::ListChange;
 use crate::endpoint::Endpoint;
 use crate::event::Arrival;
@@ -129,6 +130,10 @@
     if let ListChange::Whole(endpoints) = &change {
         endpoints.iter().for_each(|endpoint| fleet.planner.remember_head(now_ms, endpoint));
     }
+    let away_ms = fleet.directory.age_ms(now_ms);
+    if fleet.directory.is_known() && away_ms > LIST_SILENCE_MS {
+        effects.push(Effect::Note(Note::ListReturned { away_ms }));
+    }
     let applied = fleet.directory.apply(now_ms, change);
     forget(fleet, now_ms, applied.gone, "not listed", effects);
     if applied.is_changed {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -56,6 +56,28 @@
     pub records: Vec<Vec<u8>>,
 }
 
+/// How changes relate to what a node has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// They go on from there, or say that nothing came after it.
+    Next,
+    /// They were read before.
+    Old,
+    /// Others between them were missed.
+    Gap,
+}
+
+impl ListNews {
+    /// Returns how the changes relate to a node that has read up to a position.
+    pub fn place(&self, position: u64) -> Place {
+        match (self.from <= position, position <= self.to) {
+            (true, true) => Place::Next,
+            (true, false) => Place::Old,
+            (false, _) => Place::Gap,
+        }
+    }
+}
+
 /// Another node.
 #[derive(Debug, Clone)]
 struct Peer {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub use front::FrontOptions;
 pub use gossip::Gossip;
 pub use gossip::ListNews;
+pub use gossip::Place;
 pub use hub::Hub;
 pub use metrics::RelayMetrics;
 pub use notes::LineBudget;
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -76,6 +76,10 @@
             info!(log, "configuration in force"; "kind" => kind, "version" => version,
                 "dropped_lines" => dropped);
         }
+        Note::ListReturned { away_ms } => {
+            info!(log, "list of endpoints read again"; "kind" => kind, "away_ms" => away_ms,
+                "dropped_lines" => dropped);
+        }
         Note::EndpointGone { vm, reason } => {
             info!(log, "endpoint is gone"; "kind" => kind, "vm" => %vm, "reason" => reason,
                 "dropped_lines" => dropped);
@@ -101,6 +105,7 @@
         Note::GroupForming { .. } => "group_forming",
         Note::GroupDissolving { .. } => "group_dissolving",
         Note::Configuration { .. } => "configuration",
+        Note::ListReturned { .. } => "list_returned",
         Note::EndpointGone { .. } => "endpoint_gone",
         Note::Use { .. } => "use",
         Note::Leading { .. } => "leading",
