Spread requests over groups by the work that is not reported yet

Nodes hear each other every 210 to 660 ms there, so all of them chose the same group until the next report, while other groups were idle. Change: the choice is spread over the groups that the unreported prompts would fill, by their part; the reports carry the groups that reading keeps busy.

--- /dev/null
+++ b/crates/fleet/src/choice.rs
@@ -0,0 +1,104 @@
+//! Chooses the endpoint of a request from what a node knows of all of them.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use crate::configuration::PoolConfig;
+use crate::event::Arrival;
+use crate::placement;
+use crate::placement::Candidate;
+use crate::serving::Kind;
+use crate::serving::Server;
+use crate::state::Fleet;
+use crate::waiting::Places;
+
+/// Requests beyond its slots that an endpoint of a plain service may hold.
+const PLAIN_QUEUE: u32 = 6;
+
+/// Distance of an endpoint in another data centre: there and back.
+const REMOTE_MS: f64 = 8.0;
+
+/// Chooses the server of a request, if one has a place.
+pub(crate) fn choose(fleet: &Fleet, now_ms: u64, kind: &Kind, arrival: &Arrival) -> Option<Server> {
+    let pool = fleet.configuration.as_ref()?.pools.get(&kind.pool)?;
+    let open = fleet.serving.of(kind).iter().filter(|server| {
+        may_take(fleet, server, arrival) && has_place(fleet, now_ms, pool, server)
+    });
+    let mut costs: Vec<(bool, f64, &Server)> = open
+        .map(|server| {
+            let load = fleet.loads.get(&server.vm);
+            // An endpoint that could not be reached is used only when no other one has a place.
+            let is_avoided = load.is_some_and(|load| now_ms < load.avoid_until_ms);
+            (is_avoided, cost(fleet, now_ms, pool, server, arrival), server)
+        })
+        .collect();
+    let is_avoided = costs.iter().all(|(is_avoided, ..)| *is_avoided);
+    costs.retain(|entry| entry.0 == is_avoided);
+    costs.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let sorted: Vec<f64> = costs.iter().map(|(_, cost, _)| *cost).collect();
+    let unseen_ms = unseen_ms(fleet, now_ms, kind);
+    let at = placement::spread(&sorted, unseen_ms, draw(&fleet.settings.node, arrival.ticket))?;
+    Some(costs[at].2.clone())
+}
+
+/// Returns the time for which groups read prompts that other nodes have sent since their reports.
+fn unseen_ms(fleet: &Fleet, now_ms: u64, kind: &Kind) -> f64 {
+    let Some(model) = &kind.model else { return 0.0 };
+    fleet.demand.total(now_ms, model).reading * fleet.blind_ms(now_ms)
+}
+
+/// Returns a number from 0 to 1 that differs between nodes and attempts.
+fn draw(node: &str, ticket: u64) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (node, ticket).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
+
+fn may_take(fleet: &Fleet, server: &Server, arrival: &Arrival) -> bool {
+    let is_suspect =
+        server.group.as_ref().is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group));
+    let is_evacuated = fleet.evacuated.contains(&server.data_centre);
+    !is_suspect && !is_evacuated && !arrival.tried.contains(&server.vm)
+}
+
+fn has_place(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
+    let load = fleet.loads.get(&server.vm);
+    let in_flight = load.map_or(0, |load| load.total(now_ms).0);
+    let limit = match pool.engine {
+        Some(_) => server.slots,
+        None => server.slots + PLAIN_QUEUE,
+    };
+    let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
+    let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
+    let is_open = !is_cold || load.is_some_and(|load| load.cold.has_room(now_ms, cold_per_s));
+    in_flight < limit && is_open
+}
+
+fn cost(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server, arrival: &Arrival) -> f64 {
+    let load = fleet.loads.get(&server.vm);
+    let (in_flight, unread_tokens) = load.map_or((0, 0), |load| load.total(now_ms));
+    let is_local = server.data_centre == fleet.settings.data_centre;
+    let candidate = Candidate {
+        in_flight,
+        unread_tokens,
+        slots: server.slots,
+        pace: server.pace,
+        distance_ms: if is_local { 0.0 } else { REMOTE_MS },
+        failure_share: load.map_or(0.0, |load| load.failure_share),
+    };
+    match &pool.engine {
+        Some(engine) => placement::first_event_ms(engine, &candidate, arrival.prompt_tokens),
+        None => placement::plain_cost(&candidate),
+    }
+}
+
+/// Returns the places of the servers that a kind of request may use.
+pub(crate) fn places(fleet: &Fleet, now_ms: u64, kind: &Kind) -> Places {
+    let usable = fleet.serving.of(kind).iter().filter(|server| {
+        let suspect = server.group.as_ref();
+        !suspect.is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group))
+            && !fleet.evacuated.contains(&server.data_centre)
+    });
+    Places { total: usable.map(|server| server.slots).sum(), nodes: fleet.nodes(now_ms) }
+}
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -12,6 +12,7 @@
 use balsam_types::VmName;
 
 use crate::configuration::Configuration;
+use crate::demand::BusyGroups;
 use crate::directory::ListChange;
 use crate::lease::Last;
 
@@ -210,7 +211,7 @@
     /// Its requests by endpoint.
     pub loads: Vec<PeerLoad>,
     /// The work that callers bring to it, by model.
-    pub demand: Vec<(ModelName, f64)>,
+    pub demand: Vec<(ModelName, BusyGroups)>,
     /// Groups that it found lost.
     pub lost: Vec<LostGroup>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`reduce`] is the only way in: it takes one [`Event`] and returns the [`Effect`]s to carry out.
 //! Nothing here does I/O or reads a clock. See `docs/decisions/0008-platform.md`.
 
+mod choice;
 pub mod configuration;
 pub mod demand;
 pub mod directory;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,6 +3,9 @@
 //! Answers a load that is even on average but lumpy: prompts of a few hundred to a few thousand
 //! tokens, on groups whose passes grow with every running request. Counting requests alone puts a
 //! short prompt behind a long one; the prediction adds what is still to be read.
+//!
+//! Nodes that know the same old figures would all choose the same group until the next report. The
+//! choice is spread over as many groups as the requests that nobody has reported yet would fill.
 
 use crate::configuration::Engine;
 
@@ -47,6 +50,34 @@
     current_ms * HALF + current_ms + read_ms + wait_ms + candidate.distance_ms
 }
 
+/// Chooses among costs in rising order; returns the position, or `None` if there are none.
+///
+/// `unseen_ms` of work has gone to these endpoints unreported. If it goes where it costs least, as
+/// here, it fills the cheapest ones up to one level; each is chosen with the probability of its
+/// part. `draw`, from 0 to 1, decides; without unseen work the cheapest is chosen.
+pub fn spread(costs: &[f64], unseen_ms: f64, draw: f64) -> Option<usize> {
+    let mut filled = 0;
+    let mut sum_ms = 0.0;
+    let mut level_ms = *costs.first()?;
+    for cost in costs {
+        if filled > 0 && *cost >= level_ms {
+            break;
+        }
+        filled += 1;
+        sum_ms += cost;
+        level_ms = (sum_ms + unseen_ms) / f64::from(filled);
+    }
+    let mut left_ms = draw * unseen_ms;
+    let parts = costs.iter().take(filled as usize).map(|cost| level_ms - cost);
+    for (at, part_ms) in parts.enumerate() {
+        if left_ms <= part_ms {
+            return Some(at);
+        }
+        left_ms -= part_ms;
+    }
+    Some(0)
+}
+
 /// Passes that an answer of usual length takes; half of it is left on average.
 const QUEUE_PASSES: f64 = 18.0;
 
--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -85,7 +85,8 @@
 impl Use<'_> {
     fn has_demand(&self) -> bool {
         let models = self.view.engine.models.iter();
-        let total: f64 = models.map(|m| self.view.demand.total(self.view.now_ms, &m.name)).sum();
+        let total: f64 =
+            models.map(|m| self.view.demand.total(self.view.now_ms, &m.name).total).sum();
         total > NO_DEMAND
     }
 
@@ -96,7 +97,7 @@
     /// Returns the part of the groups of a model that would be busy with `fewer` groups less.
     fn without(&self, model: &Model, fewer: u32) -> f64 {
         let groups = f64::from(self.count(model)) - f64::from(fewer);
-        self.view.demand.total(self.view.now_ms, &model.name) / groups.max(0.5)
+        self.view.demand.total(self.view.now_ms, &model.name).total / groups.max(0.5)
     }
 
     fn of(&self, model: &Model) -> f64 {
@@ -154,7 +155,7 @@
         Effect::Note(Note::Use {
             model: model.name.clone(),
             groups: usage.count(model),
-            busy_groups: view.demand.total(view.now_ms, &model.name),
+            busy_groups: view.demand.total(view.now_ms, &model.name).total,
             free_endpoints,
         })
     }));
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -9,6 +9,8 @@
 use balsam_types::GroupName;
 use balsam_types::VmName;
 
+use crate::choice::choose;
+use crate::choice::places;
 use crate::configuration::Configuration;
 use crate::configuration::Engine;
 use crate::demand;
@@ -29,8 +31,6 @@
 use crate::event::Target;
 use crate::event::Ticket;
 use crate::formation;
-use crate::placement;
-use crate::placement::Candidate;
 use crate::planner::View;
 use crate::serving::Kind;
 use crate::serving::Server;
@@ -42,12 +42,6 @@
 use crate::waiting;
 use crate::waiting::Places;
 
-/// Requests beyond its slots that an endpoint of a plain service may hold; its own queue is short.
-const PLAIN_QUEUE: u32 = 6;
-
-/// Distance of an endpoint in another data centre: there and back.
-const REMOTE_MS: f64 = 8.0;
-
 /// Applies an event to the state and returns what is to be done.
 pub fn reduce(fleet: &mut Fleet, now_ms: u64, event: Event) -> Vec<Effect> {
     let mut effects = Vec::new();
@@ -212,8 +206,8 @@
     let Some(name) = &arrival.model else { return };
     let Some((_, engine)) = fleet.engine_pool() else { return };
     let Some(model) = engine.model(name) else { return };
-    let work_ms = demand::work_ms(engine, model, arrival.prompt_tokens, arrival.answer_tokens);
-    fleet.demand.arrived(now_ms, name, work_ms);
+    let work = demand::work(engine, model, arrival.prompt_tokens, arrival.answer_tokens);
+    fleet.demand.arrived(now_ms, name, &work);
 }
 
 fn dispatch(
@@ -239,66 +233,6 @@
     effects.push(Effect::Dispatch { ticket, target });
 }
 
-/// Chooses the server of a request, if one has a place.
-fn choose(fleet: &Fleet, now_ms: u64, kind: &Kind, arrival: &Arrival) -> Option<Server> {
-    let configuration = fleet.configuration.as_ref()?;
-    let pool = configuration.pools.get(&kind.pool)?;
-    let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
-    let mut best: Option<(bool, f64, &Server)> = None;
-    for server in fleet.serving.of(kind) {
-        if !may_take(fleet, server, arrival) {
-            continue;
-        }
-        let load = fleet.loads.get(&server.vm);
-        let (in_flight, unread_tokens) = load.map_or((0, 0), |load| load.total(now_ms));
-        let limit = match pool.engine {
-            Some(_) => server.slots,
-            None => server.slots + PLAIN_QUEUE,
-        };
-        let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
-        let is_open = !is_cold || load.is_some_and(|load| load.cold.has_room(now_ms, cold_per_s));
-        if in_flight >= limit || !is_open {
-            continue;
-        }
-        let is_local = server.data_centre == fleet.settings.data_centre;
-        let candidate = Candidate {
-            in_flight,
-            unread_tokens,
-            slots: server.slots,
-            pace: server.pace,
-            distance_ms: if is_local { 0.0 } else { REMOTE_MS },
-            failure_share: load.map_or(0.0, |load| load.failure_share),
-        };
-        let cost = match &pool.engine {
-            Some(engine) => placement::first_event_ms(engine, &candidate, arrival.prompt_tokens),
-            None => placement::plain_cost(&candidate),
-        };
-        // An endpoint that could not be reached is used only when no other one has a place.
-        let is_avoided = load.is_some_and(|load| now_ms < load.avoid_until_ms);
-        let key = (is_avoided, cost);
-        if best.as_ref().is_none_or(|(avoided, least, _)| key < (*avoided, *least)) {
-            best = Some((key.0, key.1, server));
-        }
-    }
-    best.map(|(_, _, server)| server.clone())
-}
-
-fn may_take(fleet: &Fleet, server: &Server, arrival: &Arrival) -> bool {
-    let is_suspect =
-        server.group.as_ref().is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group));
-    let is_evacuated = fleet.evacuated.contains(&server.data_centre);
-    !is_suspect && !is_evacuated && !arrival.tried.contains(&server.vm)
-}
-
-fn places(fleet: &Fleet, now_ms: u64, kind: &Kind) -> Places {
-    let usable = fleet.serving.of(kind).iter().filter(|server| {
-        let suspect = server.group.as_ref();
-        !suspect.is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group))
-            && !fleet.evacuated.contains(&server.data_centre)
-    });
-    Places { total: usable.map(|server| server.slots).sum(), nodes: fleet.nodes(now_ms) }
-}
-
 /// Gives free places to waiting requests.
 fn serve_waiting(fleet: &mut Fleet, now_ms: u64, kind: &Kind, effects: &mut Vec<Effect>) {
     while let Some(arrival) = fleet.waiting.next(now_ms, kind).cloned() {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -114,6 +114,13 @@
         1 + live.count() as u32
     }
 
+    /// Returns the time for which, on average, the load from other nodes is not known.
+    pub(crate) fn blind_ms(&self, now_ms: u64) -> f64 {
+        let ages = self.peers.values().map(|peer| now_ms.saturating_sub(peer.heard_ms));
+        let live: Vec<u64> = ages.filter(|age_ms| *age_ms < PEER_LIVE_MS).collect();
+        live.iter().sum::<u64>() as f64 / (live.len() + 1) as f64
+    }
+
     /// Returns this node's place among the live nodes of its data centre, from 0.
     ///
     /// Work that one node can do for its data centre falls to the first ones, so that its cost does
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -19,7 +19,7 @@
     world.has_traffic = true;
     let engine = support::engine();
     let figures = engine.model(&support::model(model)).unwrap();
-    let work_ms = balsam_fleet::demand::work_ms(&engine, figures, 1_400, 170);
+    let work_ms = balsam_fleet::demand::work(&engine, figures, 1_400, 170).total_ms();
     // An average with a time constant of 4 s settles at its input within a few of them.
     let requests = (busy_groups * 4_000.0 / work_ms) as u64;
     for ticket in 1_000..1_000 + requests {
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -5,12 +5,14 @@
 use balsam_fleet::Endpoint;
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
+use balsam_fleet::demand::BusyGroups;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::AttemptEnd;
 use balsam_fleet::event::PeerLoad;
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::reduce;
 use balsam_types::PoolName;
+use rstest::rstest;
 
 use crate::support;
 use crate::support::arrival;
@@ -175,3 +177,53 @@
     assert!(most > 0, "a cold endpoint gets some requests");
     assert!(most <= 59, "{most} requests in one second where 36 are borne and 59 allowed");
 }
+
+/// Nodes that know the same old figures must not all choose the same group: the prompts of twenty
+/// nodes filled whole passes of one group while others were idle (galamb-ledger-grown, scale-1).
+#[test]
+fn nodes_with_the_same_old_reports_choose_different_groups() {
+    let heads: Vec<Endpoint> =
+        (1..=9).map(|port| support::head(&format!("head{port}"), port)).collect();
+    let mut chosen = std::collections::BTreeMap::new();
+    for node in 0..45 {
+        let mut fleet = support::fleet(&format!("node{node}"));
+        reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+        reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(heads.clone())));
+        for other in (0..45).filter(|other| *other != node) {
+            let busy = BusyGroups { total: 5.0 / 45.0, reading: 2.0 / 45.0 };
+            let report = PeerReport {
+                node: Arc::from(format!("node{other}")),
+                data_centre: support::data_centre("a"),
+                version: 1,
+                lease_end: 0,
+                lease_released: false,
+                loads: Vec::new(),
+                demand: vec![(support::model(support::LARGE), busy)],
+                lost: Vec::new(),
+            };
+            reduce(&mut fleet, 1_000, Event::Peer(report));
+        }
+        let effects = reduce(&mut fleet, 1_200, Event::Arrive(arrival(1, 1_200)));
+        *chosen.entry(dispatched(&effects, 1).unwrap()).or_insert(0) += 1;
+    }
+    let most = chosen.values().max().unwrap();
+    assert!(*most <= 15, "45 requests over 9 equal groups: {chosen:?}");
+}
+
+/// Work that is not reported fills the cheapest endpoints up to one level, and each is chosen by
+/// its part of it; without such work the cheapest is chosen.
+#[rstest]
+#[case(&[10.0, 10.0, 50.0], 40.0, 0.4, Some(0))]
+#[case(&[10.0, 10.0, 50.0], 40.0, 0.6, Some(1))]
+#[case(&[10.0, 10.0, 50.0], 40.0, 0.99, Some(1))]
+#[case(&[10.0, 10.0, 50.0], 140.0, 0.99, Some(2))]
+#[case(&[10.0, 20.0], 0.0, 0.99, Some(0))]
+#[case(&[], 10.0, 0.5, None)]
+fn unreported_work_fills_the_cheapest_first(
+    #[case] costs: &[f64],
+    #[case] unseen_ms: f64,
+    #[case] draw: f64,
+    #[case] expected: Option<usize>,
+) {
+    assert_eq!(balsam_fleet::placement::spread(costs, unseen_ms, draw), expected);
+}
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use balsam_fleet::demand::BusyGroups;
 use balsam_fleet::event::LostGroup;
 use balsam_fleet::event::PeerLoad;
 use balsam_fleet::event::PeerReport;
@@ -65,6 +66,8 @@
     model: String,
     #[prost(double, tag = "2")]
     busy_groups: f64,
+    #[prost(double, tag = "3")]
+    reading_groups: f64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -94,9 +97,10 @@
         in_flight: load.in_flight,
         unread_tokens: load.unread_tokens,
     });
-    let demand = report.demand.iter().map(|(model, busy_groups)| ModelDemand {
+    let demand = report.demand.iter().map(|(model, busy)| ModelDemand {
         model: model.to_string(),
-        busy_groups: *busy_groups,
+        busy_groups: busy.total,
+        reading_groups: busy.reading,
     });
     let lost = report.lost.iter().map(|lost| Lost {
         group: lost.group.to_string(),
@@ -139,8 +143,10 @@
         let vm = VmName::try_from(load.vm).ok()?;
         Some(PeerLoad { vm, in_flight: load.in_flight, unread_tokens: load.unread_tokens })
     };
-    let demand =
-        |demand: ModelDemand| Some((ModelName::try_from(demand.model).ok()?, demand.busy_groups));
+    let demand = |demand: ModelDemand| {
+        let busy = BusyGroups { total: demand.busy_groups, reading: demand.reading_groups };
+        Some((ModelName::try_from(demand.model).ok()?, busy))
+    };
     let lost = |lost: Lost| {
         let group = GroupName::try_from(lost.group).ok()?;
         let member = VmName::try_from(lost.member).ok()?;
