Charge the retry budget only for attempts that an endpoint received

Ruled out: lack of groups (41 and 8 served, none waited). Change: one tally of failed attempts for plain and streaming requests; only those that an endpoint received make the next one a repeat.

--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -173,7 +173,8 @@
             return;
         }
         budget.spend(now_ms);
-    } else {
+    }
+    if arrival.tried.is_empty() {
         count_demand(fleet, now_ms, &arrival);
     }
     if fleet.waiting.next(now_ms, &kind).is_none()
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -34,17 +34,6 @@
 }
 
 impl AttemptFailure {
-    /// Whether the request may have run.
-    pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken(_) | Self::Abandoned)
-    }
-
-    /// Whether the failure used up one of the attempts that the route allows: the endpoint may have
-    /// begun to run the request, also if its group was lost later.
-    pub fn counts(&self) -> bool {
-        self.may_have_run()
-    }
-
     /// Returns the end of the attempt for the fleet.
     pub fn end(&self) -> AttemptEnd {
         match self {
@@ -65,6 +54,61 @@
     }
 }
 
+/// Attempts that endpoints turned away and that may be replaced, besides those that the route allows.
+const MAX_TURNED_AWAY: u32 = 3;
+
+/// The same for attempts that no endpoint received.
+const MAX_NOT_SENT: u32 = 4;
+
+/// The failed attempts of a request.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Tally {
+    may_have_run: u32,
+    turned_away: u32,
+    not_sent: u32,
+}
+
+impl Tally {
+    /// Counts a failed attempt.
+    pub fn count(&mut self, failure: &AttemptFailure) {
+        match failure {
+            AttemptFailure::NotSent(_) => self.not_sent += 1,
+            AttemptFailure::TurnedAway(_) => self.turned_away += 1,
+            AttemptFailure::Broken(_) | AttemptFailure::Abandoned => self.count_run(),
+        }
+    }
+
+    /// Counts an attempt that an endpoint may have run.
+    pub fn count_run(&mut self) {
+        self.may_have_run += 1;
+    }
+
+    /// Whether an endpoint may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run > 0
+    }
+
+    /// Returns the attempts that endpoints may have run.
+    pub fn runs(&self) -> u32 {
+        self.may_have_run
+    }
+
+    /// Whether an endpoint received the request, so that one more attempt is a repeat for its pool.
+    pub fn has_reached(&self) -> bool {
+        self.may_have_run + self.turned_away > 0
+    }
+
+    /// Whether the route allows one more attempt.
+    pub fn allows_more(&self, request: &Request) -> bool {
+        let route = &request.route;
+        (!self.may_have_run() || route.kind.may_repeat())
+            && self.may_have_run < route.max_attempts
+            && self.turned_away <= MAX_TURNED_AWAY
+            && self.not_sent <= MAX_NOT_SENT
+            && request.left_ms() > 0
+    }
+}
+
 /// Whether a pooled connection may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reuse {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -20,6 +20,7 @@
 use crate::attempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::Reuse;
+use crate::attempt::Tally;
 use crate::front::Shared;
 use crate::hub::Placed;
 use crate::request::Request;
@@ -27,77 +28,53 @@
 /// Most bytes of an answer that is collected before it is passed on.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Attempts that no endpoint ran and that may be replaced, besides those that the route allows.
-const MAX_UNRUN: u32 = 3;
-
 /// Answers a request with one body.
 pub(crate) async fn serve(shared: &Shared, request: &Request) -> Result<Response<Body>, Failure> {
     let mut tried: Vec<VmName> = Vec::new();
     let mut failed: Option<EndpointAnswer> = None;
-    let mut state = State::default();
+    let mut tally = Tally::default();
     loop {
-        let arrival = request.arrival(&tried, state.sends + state.unrun > 0);
+        let arrival = request.arrival(&tried, tally.has_reached());
         let placed = match shared.hub.place(arrival).await {
             Ok(placed) => placed,
             Err(refusal) => {
                 shared.note_refusal(request, &refusal);
-                return give_up(request, failed, &state, refusal.retry_after_ms);
+                return give_up(request, failed, &tally, refusal.retry_after_ms);
             }
         };
         tried.push(placed.target.vm.clone());
-        let failure = match run(shared, request, placed, state.sends).await {
+        match run(shared, request, placed, tally.runs()).await {
             Ok(answer) if !answer.status.is_server_error() => return Ok(pass_on(answer)),
             Ok(answer) => {
-                state.sends += 1;
-                state.may_have_run = true;
-                if !may_repeat(request, &state) {
+                tally.count_run();
+                if !tally.allows_more(request) {
                     return Ok(pass_on(answer));
                 }
                 failed = Some(answer);
-                continue;
             }
-            Err(failure) => failure,
-        };
-        shared.note_failure(request, &tried, &failure);
-        state.may_have_run |= failure.may_have_run();
-        match failure.counts() {
-            true => state.sends += 1,
-            false => state.unrun += 1,
-        }
-        let again = match state.may_have_run {
-            true => may_repeat(request, &state),
-            false => state.sends < request.route.max_attempts,
-        };
-        if !again || state.unrun > MAX_UNRUN || request.left_ms() == 0 {
-            return give_up(request, failed, &state, shared.options.turned_away_retry_ms);
+            Err(failure) => {
+                shared.note_failure(request, &tried, &failure);
+                tally.count(&failure);
+                if !tally.allows_more(request) {
+                    return give_up(request, failed, &tally, shared.options.turned_away_retry_ms);
+                }
+                shared.hub.metrics.repeat(failure.as_str());
+            }
         }
-        shared.hub.metrics.repeat(failure.as_str());
     }
 }
 
-/// What came of the attempts so far.
-#[derive(Debug, Default)]
-struct State {
-    sends: u32,
-    unrun: u32,
-    may_have_run: bool,
-}
-
-fn may_repeat(request: &Request, state: &State) -> bool {
-    request.route.kind.may_repeat() && state.sends < request.route.max_attempts
-}
-
 fn give_up(
     request: &Request,
     failed: Option<EndpointAnswer>,
-    state: &State,
+    tally: &Tally,
     retry_after_ms: u64,
 ) -> Result<Response<Body>, Failure> {
     match failed {
         // The endpoint's own failure says more than the lack of another endpoint.
         Some(answer) => Ok(pass_on(answer)),
-        None if state.may_have_run && request.left_ms() == 0 => Err(Failure::TimedOut),
-        None if state.may_have_run => Err(Failure::MayHaveRun),
+        None if tally.may_have_run() && request.left_ms() == 0 => Err(Failure::TimedOut),
+        None if tally.may_have_run() => Err(Failure::MayHaveRun),
         None => Err(Failure::NotRun { retry_after_ms }),
     }
 }
@@ -107,13 +84,13 @@
     shared: &Shared,
     request: &Request,
     mut placed: Placed,
-    sends: u32,
+    runs: u32,
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let may_repeat = request.route.kind.may_repeat();
     let reuse = if may_repeat { Reuse::Allowed } else { Reuse::Never };
     let left = Duration::from_millis(request.left_ms());
     // A repeat elsewhere is worth more than the rest of the wait, while one is allowed.
-    let patience = match may_repeat && sends + 1 < request.route.max_attempts {
+    let patience = match may_repeat && runs + 1 < request.route.max_attempts {
         true => left.min(Duration::from_millis(request.route.target_ms)),
         false => left,
     };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -34,6 +34,7 @@
 use crate::attempt;
 use crate::attempt::AttemptFailure;
 use crate::attempt::Reuse;
+use crate::attempt::Tally;
 use crate::clock::now_ms;
 use crate::front::Shared;
 use crate::hub::Placed;
@@ -49,10 +50,6 @@
 /// Most bytes of one event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Attempts beyond those that the route allows, for endpoints that were not reached or turned the
-/// request away.
-const MAX_REPLACED: u32 = 3;
-
 /// Why a stream ends without its last event.
 enum Stop {
     Refused(Refusal),
@@ -85,9 +82,7 @@
     source: Option<Source>,
     tried: Vec<VmName>,
     /// Attempts that count against those that the route allows.
-    sends: u32,
-    replaced: u32,
-    may_have_run: bool,
+    tally: Tally,
     last_id: Option<u64>,
     has_events: bool,
     waited_ms: u64,
@@ -124,9 +119,7 @@
         request,
         source: None,
         tried: Vec::new(),
-        sends: 0,
-        replaced: 0,
-        may_have_run: false,
+        tally: Tally::default(),
         has_events: false,
         waited_ms: 0,
         patience: Patience::default(),
@@ -142,7 +135,7 @@
         Err(Stop::Failed(failure)) => Err(failure),
         Err(Stop::Refused(refusal)) => {
             shared.note_refusal(&reader.request, &refusal);
-            Err(match reader.may_have_run {
+            Err(match reader.tally.may_have_run() {
                 true => Failure::MayHaveRun,
                 false => Failure::NotRun { retry_after_ms: refusal.retry_after_ms },
             })
@@ -222,19 +215,12 @@
         if let Some(source) = self.source.take() {
             source.placed.end(failure.end());
         }
-        self.may_have_run |= failure.may_have_run();
-        match failure.counts() {
-            true => self.sends += 1,
-            false => self.replaced += 1,
-        }
-        let route = &self.request.route;
-        let may_run_again = !self.may_have_run || route.kind.may_repeat();
-        let has_attempts = self.sends < route.max_attempts && self.replaced <= MAX_REPLACED;
-        if may_run_again && has_attempts && self.request.left_ms() > 0 {
+        self.tally.count(failure);
+        if self.tally.allows_more(&self.request) {
             self.shared.hub.metrics.repeat(failure.as_str());
             return Ok(());
         }
-        Err(Stop::Failed(match self.may_have_run {
+        Err(Stop::Failed(match self.tally.may_have_run() {
             true => Failure::MayHaveRun,
             false => Failure::NotRun { retry_after_ms: self.shared.options.turned_away_retry_ms },
         }))
@@ -243,8 +229,7 @@
     /// Opens an answer at an endpoint.
     async fn connect(&mut self) -> Result<HeaderMap, Stop> {
         loop {
-            let is_repeat = self.sends + self.replaced > 0;
-            let arrival = self.request.arrival(&self.tried, is_repeat);
+            let arrival = self.request.arrival(&self.tried, self.tally.has_reached());
             let asked_ms = now_ms();
             let placed = self.shared.hub.place(arrival).await.map_err(Stop::Refused)?;
             self.waited_ms += now_ms() - asked_ms;
