Leave a data centre after three endpoints there could not be reached

Change: reach.rs counts endpoints of another data centre that could not be reached in a row; three leave it for a second, an answer takes it back.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -23,7 +23,9 @@
 pub(crate) fn choose(fleet: &Fleet, now_ms: u64, kind: &Kind, arrival: &Arrival) -> Option<Server> {
     let pool = fleet.configuration.as_ref()?.pools.get(&kind.pool)?;
     let open = fleet.serving.of(kind).iter().filter(|server| {
-        may_take(fleet, server, arrival) && has_place(fleet, now_ms, pool, server)
+        is_usable(fleet, now_ms, server)
+            && !arrival.tried.contains(&server.vm)
+            && has_place(fleet, now_ms, pool, server)
     });
     let mut costs: Vec<(bool, f64, &Server)> = open
         .map(|server| {
@@ -55,11 +57,12 @@
     hasher.finish() as f64 / u64::MAX as f64
 }
 
-fn may_take(fleet: &Fleet, server: &Server, arrival: &Arrival) -> bool {
-    let is_suspect =
-        server.group.as_ref().is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group));
+/// Whether requests may go to a server at all, whatever its load.
+fn is_usable(fleet: &Fleet, now_ms: u64, server: &Server) -> bool {
+    let group = server.group.as_ref();
+    let is_suspect = group.is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group));
     let is_evacuated = fleet.evacuated.contains(&server.data_centre);
-    !is_suspect && !is_evacuated && !arrival.tried.contains(&server.vm)
+    !is_suspect && !is_evacuated && !fleet.reach.is_cut(now_ms, &server.data_centre)
 }
 
 fn has_place(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
@@ -95,10 +98,7 @@
 
 /// Returns the places of the servers that a kind of request may use.
 pub(crate) fn places(fleet: &Fleet, now_ms: u64, kind: &Kind) -> Places {
-    let usable = fleet.serving.of(kind).iter().filter(|server| {
-        let suspect = server.group.as_ref();
-        !suspect.is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group))
-            && !fleet.evacuated.contains(&server.data_centre)
-    });
+    let servers = fleet.serving.of(kind).iter();
+    let usable = servers.filter(|server| is_usable(fleet, now_ms, server));
     Places { total: usable.map(|server| server.slots).sum(), nodes: fleet.nodes(now_ms) }
 }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -411,6 +411,11 @@
         /// Why.
         reason: &'static str,
     },
+    /// Endpoints of another data centre cannot be reached, so it is not used for a while.
+    DataCentreCut {
+        /// The data centre.
+        data_centre: DataCentreName,
+    },
     /// How much the groups of a model are used, as the planning node sees it.
     Use {
         /// The model.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod placement;
 pub mod planner;
+pub mod reach;
 mod reduce;
 pub mod serving;
 pub mod state;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -55,6 +55,9 @@
         Event::Arrive(arrival) => arrive(fleet, now_ms, arrival, &mut effects),
         Event::Started(ticket) => {
             if let Some(vm) = fleet.loads.started(ticket) {
+                if let Some(endpoint) = fleet.directory.get(&vm) {
+                    fleet.reach.answered(&endpoint.data_centre);
+                }
                 heard(fleet, now_ms, &vm);
             }
         }
@@ -256,6 +259,7 @@
         fleet.waiting.cancel(ticket);
         return;
     };
+    note_reach(fleet, now_ms, &running.vm, end, effects);
     let Some((kind, _)) = fleet.kinds.remove(&ticket) else { return };
     if matches!(end, AttemptEnd::Answered | AttemptEnd::Failed) {
         heard(fleet, now_ms, &running.vm);
@@ -265,6 +269,31 @@
     serve_waiting(fleet, now_ms, &kind, effects);
 }
 
+/// Learns from the end of an attempt whether the data centre of its endpoint can be reached.
+fn note_reach(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    vm: &VmName,
+    end: AttemptEnd,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(endpoint) = fleet.directory.get(vm) else { return };
+    let data_centre = &endpoint.data_centre;
+    match end {
+        // Endpoints of the own data centre fail one by one.
+        AttemptEnd::Unreachable if *data_centre != fleet.settings.data_centre => {
+            if fleet.reach.failed(now_ms, data_centre, vm) {
+                let data_centre = data_centre.clone();
+                effects.push(Effect::Note(Note::DataCentreCut { data_centre }));
+            }
+        }
+        AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::TurnedAway => {
+            fleet.reach.answered(data_centre);
+        }
+        AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Cancelled => {}
+    }
+}
+
 fn peer(fleet: &mut Fleet, now_ms: u64, report: PeerReport, effects: &mut Vec<Effect>) {
     let PeerReport { node, data_centre, .. } = &report;
     fleet.peers.insert(node.clone(), Peer { heard_ms: now_ms, data_centre: data_centre.clone() });
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -19,6 +19,7 @@
 use crate::lease::Lease;
 use crate::load::LoadBook;
 use crate::planner::Planner;
+use crate::reach::Reach;
 use crate::serving::Kind;
 use crate::serving::Serving;
 use crate::suspicion::Suspicions;
@@ -76,6 +77,8 @@
     pub waiting: Waiting,
     /// The work that callers bring.
     pub demand: Demand,
+    /// Data centres that cannot be reached.
+    pub reach: Reach,
     /// Groups that stand still.
     pub suspicions: Suspicions,
     /// The right to give orders.
@@ -99,6 +102,7 @@
             loads: LoadBook::default(),
             waiting: Waiting::default(),
             demand: Demand::default(),
+            reach: Reach::default(),
             suspicions: Suspicions::default(),
             lease: Lease::new(LEASE_TTL_MS, LEASE_RENEW_MS),
             planner: Planner::default(),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -227,3 +227,42 @@
 ) {
     assert_eq!(balsam_fleet::placement::spread(costs, unseen_ms, draw), expected);
 }
+
+/// Nodes behind a cut tried each endpoint beyond it in turn, and refused a third of their callers
+/// after four failed connections (galamb-ledger-grown, scale-1).
+#[test]
+fn a_data_centre_beyond_a_cut_is_left_after_a_few_failures() {
+    let far = |port| Endpoint {
+        data_centre: support::data_centre("b"),
+        ..support::head(&format!("far{port}"), port)
+    };
+    let near = support::head("near", 20);
+    let mut fleet = fleet((1..=8).map(far).chain([near]).collect());
+    let is_far = |vm: &balsam_types::VmName| vm.as_str().starts_with("far");
+    let mut failures = 0;
+    for ticket in 1..=40 {
+        let now_ms = 1_000 + ticket;
+        let effects = reduce(&mut fleet, now_ms, Event::Arrive(arrival(ticket, now_ms)));
+        match dispatched(&effects, ticket) {
+            Some(vm) if is_far(&vm) => {
+                failures += 1;
+                let end = AttemptEnd::Unreachable;
+                reduce(&mut fleet, now_ms, Event::Ended { ticket, end });
+            }
+            Some(_) => _ = reduce(&mut fleet, now_ms, Event::Started(ticket)),
+            None => {}
+        }
+    }
+    assert_eq!(failures, 3, "the data centre counts as cut off after three");
+    // The cut ends: one answer is enough, and the data centre is used again.
+    let mut served = 0;
+    for ticket in 100..=120 {
+        let now_ms = 4_000 + ticket;
+        let effects = reduce(&mut fleet, now_ms, Event::Arrive(arrival(ticket, now_ms)));
+        if dispatched(&effects, ticket).is_some_and(|vm| is_far(&vm)) {
+            served += 1;
+            reduce(&mut fleet, now_ms, Event::Started(ticket));
+        }
+    }
+    assert!(served >= 10, "{served} of 21 requests went to the data centre after the cut");
+}
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -84,6 +84,10 @@
             info!(log, "endpoint is gone"; "kind" => kind, "vm" => %vm, "reason" => reason,
                 "dropped_lines" => dropped);
         }
+        Note::DataCentreCut { data_centre } => {
+            info!(log, "data centre cannot be reached"; "kind" => kind,
+                "data_centre" => %data_centre, "dropped_lines" => dropped);
+        }
         Note::Use { model, groups, busy_groups, free_endpoints } => {
             info!(log, "use of a model"; "kind" => kind, "model" => %model, "groups" => groups,
                 "busy_groups" => busy_groups, "free_endpoints" => free_endpoints,
@@ -107,6 +111,7 @@
         Note::Configuration { .. } => "configuration",
         Note::ListReturned { .. } => "list_returned",
         Note::EndpointGone { .. } => "endpoint_gone",
+        Note::DataCentreCut { .. } => "data_centre_cut",
         Note::Use { .. } => "use",
         Note::Leading { .. } => "leading",
     }
