Avoid an endpoint for half a second after it turned a request away

Ruled out: the list (it follows within a second; the requests came meanwhile). Change: such an endpoint is used only when no other one has a place.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -32,7 +32,8 @@
     let mut costs: Vec<(bool, f64, &Server)> = open
         .map(|server| {
             let load = fleet.loads.get(&server.vm);
-            // An endpoint that could not be reached is used only when no other one has a place.
+            // An endpoint that was not reached or turned a request away is used only when no other
+            // one has a place.
             let is_avoided = load.is_some_and(|load| now_ms < load.avoid_until_ms);
             (is_avoided, cost(fleet, now_ms, pool, server, arrival), server)
         })
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -17,7 +17,8 @@
 /// Time in which a group reads a prompt that another node reported: a pass or two.
 const PEER_READ_MS: u64 = 300;
 
-/// First pause of an endpoint that could not be reached; it doubles with each further failure.
+/// First pause of an endpoint that could not be reached, which doubles with each further failure,
+/// and the pause of one that turned a request away: it stays idle and would attract all others.
 const AVOID_MS: u64 = 500;
 
 /// Longest pause of an endpoint that could not be reached.
@@ -191,6 +192,9 @@
             load.avoid_until_ms = 0;
             load.failure_share += FAILURE_WEIGHT * (failed - load.failure_share);
         }
+        if end == AttemptEnd::TurnedAway {
+            load.avoid_until_ms = load.avoid_until_ms.max(now_ms + AVOID_MS);
+        }
         if end == AttemptEnd::Unreachable {
             let pause_ms = AVOID_MS << load.failures.min(3);
             load.avoid_until_ms = now_ms + pause_ms.min(AVOID_MAX_MS);
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -289,3 +289,21 @@
     assert_eq!(one.expected(1_400), (3, 0));
     assert_eq!(one.total(1_400), (3, 3_000), "a pass is still taken to be as long as it may be");
 }
+
+/// An endpoint that returned without its group turns each request away at once and stays idle, so
+/// it looked like the best choice: 610 requests in four seconds (kreidler-pitch-grown, trouble-1).
+#[test]
+fn an_endpoint_that_turns_requests_away_is_avoided() {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let effects = reduce(&mut fleet, 1_000, Event::Arrive(arrival(1, 1_000)));
+    let first = dispatched(&effects, 1).unwrap();
+    reduce(&mut fleet, 1_005, Event::Ended { ticket: 1, end: AttemptEnd::TurnedAway });
+    for ticket in 2..8 {
+        let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(ticket, 1_010)));
+        assert!(dispatched(&effects, ticket).is_some_and(|vm| vm != first));
+        reduce(&mut fleet, 1_020, Event::Started(ticket));
+    }
+    // The pause is over, and the other group has six answers to write.
+    let effects = reduce(&mut fleet, 1_600, Event::Arrive(arrival(9, 1_600)));
+    assert_eq!(dispatched(&effects, 9), Some(first));
+}
