Avoid an endpoint that is not as listed until it says something new

Change: 421 avoids an endpoint for two seconds, and a new record of the endpoint ends any such pause.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -189,6 +189,9 @@
     Failed,
     /// The endpoint turned the request away without running it.
     TurnedAway,
+    /// The endpoint says that it is not the one that the list shows at its address, or that it does
+    /// not lead the group.
+    Misdirected,
     /// No connection could be opened.
     Unreachable,
     /// The connection broke or fell silent.
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -21,6 +21,9 @@
 /// and the pause of one that turned a request away: it stays idle and would attract all others.
 const AVOID_MS: u64 = 500;
 
+/// Pause of an endpoint that is not what the list shows; the list follows within this time.
+const MISDIRECTED_MS: u64 = 2_000;
+
 /// Longest pause of an endpoint that could not be reached.
 const AVOID_MAX_MS: u64 = 4_000;
 
@@ -192,9 +195,12 @@
             load.avoid_until_ms = 0;
             load.failure_share += FAILURE_WEIGHT * (failed - load.failure_share);
         }
-        if end == AttemptEnd::TurnedAway {
-            load.avoid_until_ms = load.avoid_until_ms.max(now_ms + AVOID_MS);
-        }
+        let turned_away_ms = match end {
+            AttemptEnd::TurnedAway => AVOID_MS,
+            AttemptEnd::Misdirected => MISDIRECTED_MS,
+            _ => 0,
+        };
+        load.avoid_until_ms = load.avoid_until_ms.max(now_ms + turned_away_ms);
         if end == AttemptEnd::Unreachable {
             let pause_ms = AVOID_MS << load.failures.min(3);
             load.avoid_until_ms = now_ms + pause_ms.min(AVOID_MAX_MS);
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -131,9 +131,17 @@
     if fleet.directory.is_known() && away_ms > LIST_SILENCE_MS {
         effects.push(Effect::Note(Note::ListReturned { away_ms }));
     }
+    let put = match &change {
+        ListChange::Put(endpoint) => Some(endpoint.vm.clone()),
+        _ => None,
+    };
     let applied = fleet.directory.apply(now_ms, change);
     forget(fleet, now_ms, applied.gone, "not listed", effects);
     if applied.is_changed {
+        if let Some(vm) = put {
+            // What made it useless may be over; it has just said something else of itself.
+            fleet.loads.entry(&vm).avoid_until_ms = 0;
+        }
         refresh(fleet);
     }
 }
@@ -288,7 +296,10 @@
                 effects.push(Effect::Note(Note::DataCentreCut { data_centre }));
             }
         }
-        AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::TurnedAway => {
+        AttemptEnd::Answered
+        | AttemptEnd::Failed
+        | AttemptEnd::TurnedAway
+        | AttemptEnd::Misdirected => {
             fleet.reach.answered(data_centre);
         }
         AttemptEnd::Unreachable | AttemptEnd::Broken | AttemptEnd::Cancelled => {}
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -292,18 +292,42 @@
 
 /// An endpoint that returned without its group turns each request away at once and stays idle, so
 /// it looked like the best choice: 610 requests in four seconds (kreidler-pitch-grown, trouble-1).
-#[test]
-fn an_endpoint_that_turns_requests_away_is_avoided() {
+#[rstest]
+#[case::full(AttemptEnd::TurnedAway, 500)]
+#[case::not_as_listed(AttemptEnd::Misdirected, 2_000)]
+fn an_endpoint_that_turns_requests_away_is_avoided(#[case] end: AttemptEnd, #[case] pause_ms: u64) {
     let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
     let effects = reduce(&mut fleet, 1_000, Event::Arrive(arrival(1, 1_000)));
     let first = dispatched(&effects, 1).unwrap();
-    reduce(&mut fleet, 1_005, Event::Ended { ticket: 1, end: AttemptEnd::TurnedAway });
+    reduce(&mut fleet, 1_005, Event::Ended { ticket: 1, end });
     for ticket in 2..8 {
-        let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(ticket, 1_010)));
+        let now_ms = 1_000 + pause_ms;
+        let effects = reduce(&mut fleet, now_ms, Event::Arrive(arrival(ticket, now_ms)));
         assert!(dispatched(&effects, ticket).is_some_and(|vm| vm != first));
-        reduce(&mut fleet, 1_020, Event::Started(ticket));
+        reduce(&mut fleet, now_ms, Event::Started(ticket));
     }
     // The pause is over, and the other group has six answers to write.
-    let effects = reduce(&mut fleet, 1_600, Event::Arrive(arrival(9, 1_600)));
+    let now_ms = 1_010 + pause_ms;
+    let effects = reduce(&mut fleet, now_ms, Event::Arrive(arrival(9, now_ms)));
     assert_eq!(dispatched(&effects, 9), Some(first));
 }
+
+/// A head that left its group leads another one within a second; a node that had been turned away
+/// by it between the two must not avoid the new group.
+#[test]
+fn an_endpoint_that_says_something_new_is_no_longer_avoided() {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let effects = reduce(&mut fleet, 1_000, Event::Arrive(arrival(1, 1_000)));
+    let first = dispatched(&effects, 1).unwrap();
+    let end = AttemptEnd::Misdirected;
+    reduce(&mut fleet, 1_005, Event::Ended { ticket: 1, end });
+    let mut changed = fleet.directory.get(&first).unwrap().clone();
+    changed.sequence += 1;
+    changed.membership.as_mut().unwrap().epoch += 10;
+    reduce(&mut fleet, 1_100, Event::List(ListChange::Put(Box::new(changed))));
+    let effects = reduce(&mut fleet, 1_110, Event::Arrive(arrival(2, 1_110)));
+    reduce(&mut fleet, 1_110, Event::Started(2));
+    let effects_of_next = reduce(&mut fleet, 1_120, Event::Arrive(arrival(3, 1_120)));
+    let chosen = [dispatched(&effects, 2), dispatched(&effects_of_next, 3)];
+    assert!(chosen.contains(&Some(first)));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -38,6 +38,7 @@
     pub fn end(&self) -> AttemptEnd {
         match self {
             Self::NotSent(_) => AttemptEnd::Unreachable,
+            Self::TurnedAway(StatusCode::MISDIRECTED_REQUEST) => AttemptEnd::Misdirected,
             Self::TurnedAway(_) => AttemptEnd::TurnedAway,
             Self::Broken(_) | Self::Abandoned => AttemptEnd::Broken,
         }
