Let the modules of agent and serve depend on each other one way only

Change: plain data moves below what uses it: agent::state holds the waiters of claims, the former groups and the position in the log as submodules; serve gets shared, idle and copies. read_body takes the options and the bytes, accept takes the function that answers, a copy is started by a function. Conclusion: behaviour is the same.

--- a/crates/agent/src/claims.rs
+++ b/crates/agent/src/claims.rs
@@ -4,7 +4,6 @@
 //! earlier leaves a claim behind that is released as soon as it shows up in the log. See
 //! `docs/decisions/0001-at-most-once.md`.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
 
 use balsam_state::Rejection;
@@ -22,57 +21,8 @@
 use crate::event::At;
 use crate::event::ClaimAsk;
 use crate::state::Agent;
-
-#[derive(Debug)]
-enum Stage {
-    /// The claim record is on its way to the log.
-    Claiming { record_id: RecordId, asked_ms: u64 },
-    /// Another request with this key runs.
-    Following,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    key: ClaimKey,
-    request_hash: RequestHash,
-    deadline_ms: u64,
-    stage: Stage,
-}
-
-/// Requests that wait for their claims.
-#[derive(Debug, Default)]
-pub struct ClaimWaiters {
-    waiters: HashMap<u64, Waiter>,
-    by_record: HashMap<RecordId, u64>,
-    /// Claims that were given up after they were sent, with the time of giving up. They are
-    /// released once they show up in the log.
-    abandoned: HashMap<RecordId, (ClaimKey, u64)>,
-}
-
-impl ClaimWaiters {
-    fn remove(&mut self, waiter: u64) -> Option<Waiter> {
-        let removed = self.waiters.remove(&waiter)?;
-        if let Stage::Claiming { record_id, .. } = removed.stage {
-            self.by_record.remove(&record_id);
-        }
-        Some(removed)
-    }
-
-    /// Returns whether a request still waits for this claim record.
-    pub fn awaits(&self, record_id: &RecordId) -> bool {
-        self.by_record.contains_key(record_id)
-    }
-
-    /// Returns the number of waiting requests.
-    pub fn len(&self) -> usize {
-        self.waiters.len()
-    }
-
-    /// Returns whether no request waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiters.is_empty()
-    }
-}
+use crate::state::Stage;
+use crate::state::Waiter;
 
 /// Returns whether a record is about the estate, as opposed to single requests.
 pub fn is_control(kind: &RecordKind) -> bool {
--- a/crates/agent/src/former.rs
+++ b/crates/agent/src/former.rs
@@ -14,34 +14,12 @@
 
 use crate::event::At;
 use crate::state::Agent;
+use crate::state::Retired;
 
 /// How long after the retirement other nodes may still send to the group, because they have not
 /// folded it yet.
 const NEWS_MS: u64 = 3_000;
 
-/// The groups of this data centre, and those that were retired while every member was present.
-#[derive(Debug, Default)]
-pub struct FormerGroups {
-    known: BTreeMap<GroupName, Arc<GroupSpec>>,
-    retired: BTreeMap<GroupName, Retired>,
-}
-
-#[derive(Debug)]
-struct Retired {
-    spec: Arc<GroupSpec>,
-    retired_ms: u64,
-    /// Whether the head was seen without requests after other nodes had stopped sending.
-    idle: bool,
-}
-
-impl FormerGroups {
-    /// Returns the heads of former groups that are not known to be idle.
-    pub fn busy_heads(&self) -> impl Iterator<Item = (&VmName, &[VmName])> {
-        let busy = self.retired.values().filter(|former| !former.idle);
-        busy.map(|former| (former.spec.head(), former.spec.members.as_slice()))
-    }
-}
-
 /// Notes groups that are gone from the log since the last call.
 pub fn note_retired(agent: &mut Agent, at: At) {
     let groups = agent.replicated.groups();
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -1,4 +1,10 @@
-//! The state of an entry node.
+//! The state of an entry node: data that the decision modules read and change.
+//!
+//! Nothing here decides, so that the modules depend on the state and never the other way round.
+
+mod claim_waiters;
+mod former_groups;
+mod log_position;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -31,12 +37,15 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+pub use self::claim_waiters::ClaimWaiters;
+pub(crate) use self::claim_waiters::Stage;
+pub(crate) use self::claim_waiters::Waiter;
+pub use self::former_groups::FormerGroups;
+pub(crate) use self::former_groups::Retired;
+pub use self::log_position::LogPosition;
 use crate::append::AppendQueue;
-use crate::claims::ClaimWaiters;
 use crate::event::At;
 use crate::event::Observation;
-use crate::former::FormerGroups;
-use crate::log::LogPosition;
 
 /// A failed read of the log within this time of the first says nothing about an outage.
 const PASSING_FAULT_MS: u64 = 500;
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -32,7 +32,6 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
-use crate::front::Shared;
 use crate::ports::AnswerPart;
 use crate::ports::AttemptAnswer;
 use crate::ports::AttemptFailure;
@@ -40,6 +39,7 @@
 use crate::ports::Permit;
 use crate::ports::PermitRequest;
 use crate::problem::ProblemKind;
+use crate::shared::Shared;
 use crate::target::LocalTarget;
 
 /// The header that names a stream for resume and cancel.
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Semaphore;
 
 use crate::caller::not_run;
-use crate::front::Shared;
+use crate::options::ServeOptions;
 use crate::ports::AttemptFailure;
 use crate::problem::ProblemKind;
 
@@ -77,17 +77,18 @@
 /// Reads a whole body. Its bytes are accounted for as they arrive, because a caller that only
 /// announces a large body must not take the room of others.
 pub(crate) async fn read_body(
-    shared: &Shared,
+    options: &ServeOptions,
+    body_bytes: &BodyBytes,
     organisation: &OrganisationName,
     mut body: viz::Body,
 ) -> Result<(Bytes, HeldBytes), AttemptFailure> {
-    let limit = shared.options.max_body_bytes;
+    let limit = options.max_body_bytes;
     let too_large =
         || not_run(ProblemKind::BodyTooLarge, format!("the body exceeds {limit} bytes"));
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
     }
-    let organisation = shared.body_bytes.organisation(organisation);
+    let organisation = body_bytes.organisation(organisation);
     let read = async {
         let mut held = HeldBytes::default();
         let mut whole = BytesMut::new();
@@ -99,7 +100,7 @@
             if whole.len() + data.len() > limit {
                 return Err(too_large());
             }
-            if !held.add(&shared.body_bytes.all, &organisation, data.len()) {
+            if !held.add(&body_bytes.all, &organisation, data.len()) {
                 let detail = "the node holds too many request bodies";
                 return Err(not_run(ProblemKind::Overloaded, detail));
             }
@@ -107,7 +108,7 @@
         }
         Ok((whole.freeze(), held))
     };
-    let timeout = Duration::from_millis(shared.options.body_read_timeout_ms);
+    let timeout = Duration::from_millis(options.body_read_timeout_ms);
     match tokio::time::timeout(timeout, read).await {
         Ok(read) => read,
         Err(_) => {
--- a/crates/serve/src/compare.rs
+++ b/crates/serve/src/compare.rs
@@ -5,35 +5,23 @@
 //! nothing of the caller's request ever waits for a copy.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use balsam_types::RouteSpec;
 use futures::StreamExt;
 use futures::future;
-use http::Method;
 use sha2::Digest;
 use sha2::Sha256;
-use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::flow;
-use crate::front::Shared;
-use crate::options::ServeOptions;
 use crate::ports::AnswerPart;
 use crate::ports::Call;
+use crate::shared::Shared;
 
 /// Copies are the first requests that an engine may put off.
 const COPY_PRIORITY: u8 = 9;
 
-/// Decides which reads are copied.
-pub(crate) struct Copies {
-    percent: u64,
-    reads: AtomicU64,
-    running: Arc<Semaphore>,
-}
-
 /// What is compared: the status and the hash of the body.
 type Summary = (u16, [u8; 32]);
 
@@ -56,61 +44,35 @@
     }
 }
 
-impl Copies {
-    pub fn new(options: &ServeOptions) -> Self {
-        Self {
-            percent: u64::from(options.compare_percent),
-            reads: AtomicU64::new(0),
-            running: Arc::new(Semaphore::new(options.compare_running)),
-        }
-    }
-
-    /// Starts a copy of a request if its route asks for one and the bounds allow it.
-    pub fn start(
-        &self,
-        shared: &Arc<Shared>,
-        route: &RouteSpec,
-        call: &Call,
-    ) -> Option<Comparison> {
-        let pool = route.compare_pool.as_ref()?;
-        // PUT and DELETE may be repeated as well, but they change the second pool.
-        let reads = call.idempotent && [Method::GET, Method::HEAD].contains(&call.method);
-        if !reads || !self.is_due() {
-            return None;
-        }
-        let place = self.running.clone().try_acquire_owned().ok()?;
-        let copy = Call {
-            pool: pool.clone(),
-            priority: COPY_PRIORITY,
-            // A failed copy is not tried again, so that it costs the second pool one request.
-            idempotent: false,
-            ..call.clone()
+/// Starts a copy of a request if its route asks for one and the bounds allow it.
+pub(crate) fn start(shared: &Arc<Shared>, route: &RouteSpec, call: &Call) -> Option<Comparison> {
+    let pool = route.compare_pool.as_ref()?;
+    let place = shared.copies.take_place(call)?;
+    let copy = Call {
+        pool: pool.clone(),
+        priority: COPY_PRIORITY,
+        // A failed copy is not tried again, so that it costs the second pool one request.
+        idempotent: false,
+        ..call.clone()
+    };
+    let (finished, expected) = oneshot::channel();
+    let shared = shared.clone();
+    let name = route.route.clone();
+    tokio::spawn(async move {
+        let _place = place;
+        let copied = timeout(shared.left(copy.deadline_ms), summary(&shared, &copy));
+        let copied = async { copied.await.ok().flatten().ok_or(Failed::Copy) };
+        let expected = async { expected.await.map_err(|_| Failed::Caller) };
+        let result = match future::try_join(copied, expected).await {
+            Ok((copied, expected)) if copied == expected => "equal",
+            Ok(_) => "different",
+            Err(Failed::Copy) => "failed",
+            // The caller went away or got no whole answer, so there is nothing to compare.
+            Err(Failed::Caller) => return,
         };
-        let (finished, expected) = oneshot::channel();
-        let shared = shared.clone();
-        let name = route.route.clone();
-        tokio::spawn(async move {
-            let _place = place;
-            let copied = timeout(shared.left(copy.deadline_ms), summary(&shared, &copy));
-            let copied = async { copied.await.ok().flatten().ok_or(Failed::Copy) };
-            let expected = async { expected.await.map_err(|_| Failed::Caller) };
-            let result = match future::try_join(copied, expected).await {
-                Ok((copied, expected)) if copied == expected => "equal",
-                Ok(_) => "different",
-                Err(Failed::Copy) => "failed",
-                // The caller went away or got no whole answer, so there is nothing to compare.
-                Err(Failed::Caller) => return,
-            };
-            shared.metrics.compared(name.as_str(), result);
-        });
-        Some(Comparison { body: Sha256::new(), finished })
-    }
-
-    /// Spreads the share evenly: with 10 in 100, every tenth read is due.
-    fn is_due(&self) -> bool {
-        let read = self.reads.fetch_add(1, Ordering::Relaxed);
-        (read + 1) * self.percent / 100 > read * self.percent / 100
-    }
+        shared.metrics.compared(name.as_str(), result);
+    });
+    Some(Comparison { body: Sha256::new(), finished })
 }
 
 enum Failed {
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -2,18 +2,10 @@
 //!
 //! viz routes and answers; its own server is not used, because its shutdown is fixed at 10 s.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::service::Service;
 use hyper_util::rt::TokioExecutor;
@@ -22,14 +14,16 @@
 use hyper_util::server::conn::auto;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::OwnedSemaphorePermit;
+use viz::Request;
 use viz::Responder;
+use viz::Response;
 use viz::Router;
 use viz::Tree;
 
-use crate::front;
-use crate::front::Shared;
+use crate::idle::Activity;
+use crate::idle::ActivityGuard;
+use crate::shared::Shared;
 
 /// Pause after a failed accept; a lack of file descriptors does not go away at once.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -43,9 +37,13 @@
 /// Unread bytes of one HTTP/2 connection; hyper's default of 1 MiB on 4096 connections is 4 GiB.
 const CONNECTION_WINDOW_BYTES: u32 = 128 * 1024;
 
-/// Accepts connections until the shutdown starts.
-pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    let tree = Arc::new(Tree::from(router(&shared)));
+/// Accepts connections until the shutdown starts; `answer` answers each request.
+pub(crate) async fn accept<H, F>(shared: Arc<Shared>, listener: TcpListener, answer: H)
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let tree = Arc::new(Tree::from(router(answer)));
     let mut stopping = shared.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -66,7 +64,7 @@
         tokio::spawn(async move {
             let _permit = permit;
             let idle = shared.clone();
-            let (number, activity) = Activity::start(&shared);
+            let (number, activity) = Activity::start(&shared.idle);
             serve(shared, tree, stream, peer, activity).await;
             idle.idle.lock().remove(&number);
         });
@@ -86,62 +84,18 @@
     freed.await.ok()?.ok()
 }
 
-/// The open connections in the order in which they were opened.
-#[derive(Default)]
-pub(crate) struct Idle {
-    connections: Mutex<BTreeMap<u64, Arc<Activity>>>,
-    next: AtomicU64,
-}
-
-impl Idle {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Activity>>> {
-        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn add(&self, activity: Arc<Activity>) -> u64 {
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        self.lock().insert(number, activity);
-        number
-    }
-
-    /// Closes the oldest connection that never had a request, or else the oldest one between two
-    /// requests; false if there is none. An answer that is still being sent ends whole.
-    fn close_oldest(&self) -> bool {
-        let mut connections = self.lock();
-        let unused = |a: &Arc<Activity>| !a.had_request.load(Ordering::Relaxed);
-        let between = |a: &Arc<Activity>| a.open.load(Ordering::Relaxed) == 0;
-        let found = connections.iter().find(|(_, a)| unused(a));
-        let found = found.or_else(|| connections.iter().find(|(_, a)| between(a)));
-        let Some(number) = found.map(|(number, _)| *number) else {
-            return false;
-        };
-        connections.remove(&number).is_some_and(|activity| {
-            activity.close.notify_one();
-            true
-        })
-    }
-}
-
-fn router(shared: &Arc<Shared>) -> Router {
-    let handler = {
-        let shared = shared.clone();
-        move |request: viz::Request| {
-            let shared = shared.clone();
-            async move { Ok::<_, viz::Error>(front::handle(shared, request).await) }
-        }
+fn router<H, F>(answer: H) -> Router
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let handler = move |request| {
+        let response = answer(request);
+        async move { Ok::<_, viz::Error>(response.await) }
     };
     Router::new().any("/", handler.clone()).any("/*", handler)
 }
 
-/// What is known about one connection.
-pub(crate) struct Activity {
-    close: Notify,
-    had_request: AtomicBool,
-    open: AtomicUsize,
-    idle_since_ms: AtomicUsize,
-    started: Instant,
-}
-
 async fn serve(
     shared: Arc<Shared>,
     tree: Arc<Tree>,
@@ -219,44 +173,3 @@
         .keep_alive_interval(Duration::from_millis(options.idle_connection_ms / 2 + 1));
     builder
 }
-
-/// Marks a request of a connection as running until its response head is made.
-struct ActivityGuard(Arc<Activity>);
-
-impl ActivityGuard {
-    fn new(activity: Arc<Activity>) -> Self {
-        activity.had_request.store(true, Ordering::Relaxed);
-        activity.open.fetch_add(1, Ordering::Relaxed);
-        Self(activity)
-    }
-}
-
-impl Drop for ActivityGuard {
-    fn drop(&mut self) {
-        let now_ms = self.0.started.elapsed().as_millis() as usize;
-        self.0.idle_since_ms.store(now_ms, Ordering::Relaxed);
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl Activity {
-    /// Adds a connection to the open ones.
-    fn start(shared: &Shared) -> (u64, Arc<Self>) {
-        let activity = Arc::new(Activity {
-            close: Notify::new(),
-            had_request: AtomicBool::new(false),
-            open: AtomicUsize::new(0),
-            idle_since_ms: AtomicUsize::new(0),
-            started: Instant::now(),
-        });
-        (shared.idle.add(activity.clone()), activity)
-    }
-
-    fn idle_for(&self) -> Duration {
-        if self.open.load(Ordering::Relaxed) > 0 {
-            return Duration::ZERO;
-        }
-        let since = Duration::from_millis(self.idle_since_ms.load(Ordering::Relaxed) as u64);
-        self.started.elapsed().saturating_sub(since)
-    }
-}
--- a/crates/serve/src/flow.rs
+++ b/crates/serve/src/flow.rs
@@ -12,13 +12,13 @@
 
 use crate::attempt;
 use crate::caller::not_run;
-use crate::front::Shared;
 use crate::ports::AnswerPart;
 use crate::ports::AttemptAnswer;
 use crate::ports::AttemptFailure;
 use crate::ports::Call;
 use crate::ports::ForwardCall;
 use crate::problem::ProblemKind;
+use crate::shared::Shared;
 use crate::target::Target;
 use crate::target::Tried;
 
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,7 +14,6 @@
 use opentelemetry::metrics::Meter;
 use slog::Logger;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use viz::Request;
@@ -26,10 +24,11 @@
 use crate::body::read_body;
 use crate::caller;
 use crate::caller::not_run;
-use crate::compare::Copies;
+use crate::compare;
 use crate::conn;
-use crate::conn::Idle;
+use crate::copies::Copies;
 use crate::flow;
+use crate::idle::Idle;
 use crate::keyed;
 use crate::keyed::Keyed;
 use crate::metrics::Metrics;
@@ -43,63 +42,13 @@
 use crate::problem::ProblemKind;
 use crate::respond;
 use crate::respond::AnswerEnd;
+use crate::shared::OpenGuard;
+use crate::shared::Shared;
 use crate::target::Targets;
 
 /// How often unused connections to endpoints are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// The state that all requests share.
-pub(crate) struct Shared {
-    pub options: ServeOptions,
-    pub ports: Ports,
-    pub client: Client,
-    pub targets: Targets,
-    pub gate: Arc<Gate>,
-    pub copies: Copies,
-    pub metrics: Metrics,
-    pub log: Logger,
-    pub stopping: watch::Sender<bool>,
-    pub connections: Arc<Semaphore>,
-    pub body_bytes: BodyBytes,
-    pub idle: Idle,
-    open: Arc<Open>,
-    ready: AtomicBool,
-}
-
-impl Shared {
-    /// Returns the time left until a time of the node's clock.
-    pub fn left(&self, until_ms: u64) -> Duration {
-        Duration::from_millis(until_ms.saturating_sub((self.ports.now_ms)()))
-    }
-
-    /// Counts a request as open until the guard is dropped.
-    pub fn open(&self) -> OpenGuard {
-        self.open.count.fetch_add(1, Ordering::SeqCst);
-        OpenGuard { _counted: Arc::new(Counted(self.open.clone())) }
-    }
-}
-
-#[derive(Default)]
-struct Open {
-    count: AtomicU64,
-    changed: Notify,
-}
-
-/// Counts one request as open until its last clone is dropped.
-#[derive(Clone)]
-pub(crate) struct OpenGuard {
-    _counted: Arc<Counted>,
-}
-
-struct Counted(Arc<Open>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.count.fetch_sub(1, Ordering::SeqCst);
-        self.0.changed.notify_waiters();
-    }
-}
-
 /// The callers' interface of an entry node.
 #[derive(Clone)]
 pub struct Front {
@@ -145,14 +94,16 @@
                 shared.client.sweep();
             }
         });
-        conn::accept(self.shared.clone(), listener).await;
+        let shared = self.shared.clone();
+        let answer = move |request| handle(shared.clone(), request);
+        conn::accept(self.shared.clone(), listener, answer).await;
         sweeper.abort();
     }
 
     /// Runs a request that another data centre forwarded, on a group of this one only.
     pub async fn serve_forwarded(&self, call: Call) -> Result<AttemptAnswer, AttemptFailure> {
         // Counted first, so that a shutdown that starts now waits for it.
-        let open = self.shared.open();
+        let open = self.shared.open_request();
         if *self.shared.stopping.borrow() {
             return Err(not_run(ProblemKind::NoEndpoint, "the entry node is shutting down"));
         }
@@ -213,9 +164,9 @@
 }
 
 /// Answers one request; every failure becomes a problem response.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request) -> Response {
+async fn handle(shared: Arc<Shared>, request: Request) -> Response {
     let started = Instant::now();
-    let open = shared.open();
+    let open = shared.open_request();
     let request_id = caller::request_id(request.headers());
     let mut route = Arc::from("none");
     let result = respond_to(&shared, request, &request_id, &mut route, started, open).await;
@@ -240,7 +191,8 @@
     let table = (shared.ports.table)();
     let organisation = caller::organisation(&table, &parts.headers)?;
     let control = caller::control(&parts.headers)?;
-    let (body, _held) = read_body(shared, &organisation.organisation, body).await?;
+    let (body, _held) =
+        read_body(&shared.options, &shared.body_bytes, &organisation.organisation, body).await?;
     let route = caller::route(&table, &parts, &body)?;
     *route_name = Arc::from(route.route.as_str());
     let asked_ms = control.deadline_in_ms.unwrap_or(route.deadline_ms);
@@ -272,7 +224,7 @@
     };
     let claims = !call.idempotent || is_chat;
     let Some(key) = control.key.filter(|_| claims) else {
-        end.comparison = shared.copies.start(shared, &route, &call);
+        end.comparison = compare::start(shared, &route, &call);
         let answer = flow::run(shared, &call, true).await?;
         return Ok(respond::answer(answer, end));
     };
--- a/crates/serve/src/keyed.rs
+++ b/crates/serve/src/keyed.rs
@@ -16,8 +16,6 @@
 
 use crate::admit::Admitted;
 use crate::flow;
-use crate::front::OpenGuard;
-use crate::front::Shared;
 use crate::ports::AnswerPart;
 use crate::ports::AttemptAnswer;
 use crate::ports::AttemptFailure;
@@ -25,6 +23,8 @@
 use crate::ports::ClaimDecision;
 use crate::ports::ClaimRequest;
 use crate::problem::ProblemKind;
+use crate::shared::OpenGuard;
+use crate::shared::Shared;
 
 /// Parts of an answer that wait for a slow caller.
 const ANSWER_QUEUE: usize = 8;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -11,14 +11,17 @@
 mod caller;
 mod compare;
 mod conn;
+mod copies;
 mod flow;
 mod front;
+mod idle;
 mod keyed;
 mod metrics;
 mod options;
 mod ports;
 mod problem;
 mod respond;
+mod shared;
 mod target;
 
 pub use front::Front;
--- a/crates/serve/src/respond.rs
+++ b/crates/serve/src/respond.rs
@@ -19,13 +19,13 @@
 
 use crate::admit::Admitted;
 use crate::compare::Comparison;
-use crate::front::OpenGuard;
-use crate::front::Shared;
 use crate::ports::AnswerPart;
 use crate::ports::AttemptAnswer;
 use crate::ports::AttemptFailure;
 use crate::problem;
 use crate::problem::ProblemKind;
+use crate::shared::OpenGuard;
+use crate::shared::Shared;
 
 /// Time between the error event and the abort: an abort discards what is not yet on the socket.
 const ERROR_FLUSH: Duration = Duration::from_millis(20);
