--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -13,7 +13,7 @@
 use crate::state::Fleet;
 use crate::waiting::Places;
 
-/// Requests beyond its slots that an endpoint of a plain service may hold.
+/// Requests beyond its slots that an endpoint of a plain service may hold; its own queue is short.
 const PLAIN_QUEUE: u32 = 6;
 
 /// Distance of an endpoint in another data centre: there and back.
@@ -38,8 +38,8 @@
             (is_avoided, cost(fleet, now_ms, pool, server, arrival), server)
         })
         .collect();
-    let is_avoided = costs.iter().all(|(is_avoided, ..)| *is_avoided);
-    costs.retain(|entry| entry.0 == is_avoided);
+    let only_avoided = costs.iter().all(|(is_avoided, ..)| *is_avoided);
+    costs.retain(|(is_avoided, ..)| *is_avoided == only_avoided);
     costs.sort_by(|a, b| a.1.total_cmp(&b.1));
     let sorted: Vec<f64> = costs.iter().map(|(_, cost, _)| *cost).collect();
     let unseen_ms = unseen_ms(fleet, now_ms, kind);
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -139,7 +139,7 @@
     forget(fleet, now_ms, applied.gone, "not listed", effects);
     if applied.is_changed {
         if let Some(vm) = put {
-            // What made it useless may be over; it has just said something else of itself.
+            // The reason to avoid it may be gone: its entry has just changed.
             fleet.loads.entry(&vm).avoid_until_ms = 0;
         }
         refresh(fleet);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -55,10 +55,12 @@
     }
 }
 
-/// Attempts that endpoints turned away and that may be replaced, besides those that the route allows.
+/// Attempts that endpoints turned away and that may be replaced, besides those that the route
+/// allows; each draws on the retry budget that all nodes share.
 const MAX_TURNED_AWAY: u32 = 3;
 
-/// The same for attempts that no endpoint received.
+/// The same for attempts that no endpoint received: one more than it takes to find that a data
+/// centre is cut off.
 const MAX_NOT_SENT: u32 = 4;
 
 /// The failed attempts of a request.
@@ -75,6 +77,7 @@
         match failure {
             AttemptFailure::NotSent(_) => self.not_sent += 1,
             AttemptFailure::TurnedAway(_) => self.turned_away += 1,
+            // The endpoint may have begun to run the request, also if its group was lost later.
             AttemptFailure::Broken(_) | AttemptFailure::Abandoned => self.count_run(),
         }
     }
