--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -26,19 +26,27 @@
     fleet
 }
 
-/// Nodes that count only their own requests all choose the same group.
-#[test]
-fn the_requests_of_other_nodes_count() {
-    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
-    let report = PeerReport {
-        node: Arc::from("other"),
+/// What another node with nothing to tell reports.
+fn report(node: &str) -> PeerReport {
+    PeerReport {
+        node: Arc::from(node),
         data_centre: support::data_centre("a"),
         version: 1,
         lease_end: 0,
         lease_released: false,
-        loads: vec![PeerLoad { vm: vm("one"), in_flight: 12, unread_tokens: 0 }],
+        loads: Vec::new(),
         demand: Vec::new(),
         lost: Vec::new(),
+    }
+}
+
+/// Nodes that count only their own requests all choose the same group.
+#[test]
+fn the_requests_of_other_nodes_count() {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let report = PeerReport {
+        loads: vec![PeerLoad { vm: vm("one"), in_flight: 12, unread_tokens: 0 }],
+        ..report("other")
     };
     reduce(&mut fleet, 1_000, Event::Peer(report));
     for ticket in 1..=8 {
@@ -53,14 +61,8 @@
 fn the_report_of_a_silent_node_is_forgotten() {
     let mut fleet = fleet(vec![support::head("one", 1)]);
     let report = PeerReport {
-        node: Arc::from("other"),
-        data_centre: support::data_centre("a"),
-        version: 1,
-        lease_end: 0,
-        lease_released: false,
         loads: vec![PeerLoad { vm: vm("one"), in_flight: 17, unread_tokens: 0 }],
-        demand: Vec::new(),
-        lost: Vec::new(),
+        ..report("other")
     };
     reduce(&mut fleet, 1_000, Event::Peer(report));
     let effects = reduce(&mut fleet, 1_100, Event::Arrive(arrival(1, 1_100)));
@@ -151,17 +153,7 @@
     for now_ms in (1_000..9_000).step_by(50) {
         for fleet in &mut nodes {
             for peer in 0..64 {
-                let report = PeerReport {
-                    node: Arc::from(format!("peer-{peer}")),
-                    data_centre: support::data_centre("a"),
-                    version: 1,
-                    lease_end: 0,
-                    lease_released: false,
-                    loads: Vec::new(),
-                    demand: Vec::new(),
-                    lost: Vec::new(),
-                };
-                reduce(fleet, now_ms, Event::Peer(report));
+                reduce(fleet, now_ms, Event::Peer(report(&format!("peer-{peer}"))));
             }
             reduce(fleet, now_ms, Event::Tick);
             let effects = reduce(fleet, now_ms, Event::Arrive(arrival(now_ms, now_ms)));
@@ -192,14 +184,8 @@
         for other in (0..45).filter(|other| *other != node) {
             let busy = BusyGroups { total: 5.0 / 45.0, reading: 2.0 / 45.0 };
             let report = PeerReport {
-                node: Arc::from(format!("node{other}")),
-                data_centre: support::data_centre("a"),
-                version: 1,
-                lease_end: 0,
-                lease_released: false,
-                loads: Vec::new(),
                 demand: vec![(support::model(support::LARGE), busy)],
-                lost: Vec::new(),
+                ..report(&format!("node{other}"))
             };
             reduce(&mut fleet, 1_000, Event::Peer(report));
         }
@@ -273,14 +259,8 @@
 fn reported_prompts_count_less_with_their_age() {
     let mut load = balsam_fleet::load::LoadBook::default();
     let report = PeerReport {
-        node: Arc::from("other"),
-        data_centre: support::data_centre("a"),
-        version: 1,
-        lease_end: 0,
-        lease_released: false,
         loads: vec![PeerLoad { vm: vm("one"), in_flight: 3, unread_tokens: 3_000 }],
-        demand: Vec::new(),
-        lost: Vec::new(),
+        ..report("other")
     };
     load.report(1_000, &report);
     let one = load.get(&vm("one")).unwrap();
