Let endpoints that no model's share covers serve too

Cause: before the first request each model got its share of every fabric domain and the rest stayed free.

Change: once the shares of a domain are met, what is left over goes to the model that lacks most of its share of all endpoints. Domains that the shares fill exactly are formed as before.

Test endpoints_that_no_share_covers_serve_too fails before (12 free).

--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -103,6 +103,11 @@
     fn of(&self, model: &Model) -> f64 {
         self.without(model, 0)
     }
+
+    /// Returns how many endpoints a model lacks to its share of all.
+    fn lacks(&self, endpoints: u32, model: &Model) -> f64 {
+        f64::from(endpoints) * model.share - f64::from(self.count(model) * model.size)
+    }
 }
 
 /// Forms groups of free endpoints, makes room for others, and stages weights.
@@ -224,6 +229,26 @@
     planner: &Planner,
     usage: &Use<'a>,
     domains: &BTreeMap<DomainName, Domain<'_>>,
+) -> Option<(DomainName, &'a Model)> {
+    if usage.has_demand() {
+        return most_wanted(planner, usage, domains, |domain, model| {
+            want_by_use(planner, usage, domain, model)
+        });
+    }
+    most_wanted(planner, usage, domains, want_by_share).or_else(|| {
+        let endpoints = domains.values().map(|domain| domain.endpoints).sum();
+        let lacks = |_: &Domain<'_>, model: &Model| Some(usage.lacks(endpoints, model));
+        most_wanted(planner, usage, domains, lacks)
+    })
+}
+
+/// Returns the domain and the model that `want` rates highest, among those with enough free
+/// endpoints.
+fn most_wanted<'a>(
+    planner: &Planner,
+    usage: &Use<'a>,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
+    want: impl Fn(&Domain<'_>, &Model) -> Option<f64>,
 ) -> Option<(DomainName, &'a Model)> {
     let mut best: Option<(f64, DomainName, &Model)> = None;
     for (name, domain) in domains {
@@ -233,11 +258,7 @@
             if is_kept || domain.free.len() < model.size as usize || model.size == 0 {
                 continue;
             }
-            let want = match usage.has_demand() {
-                true => want_by_use(planner, usage, domain, model),
-                false => want_by_share(domain, model),
-            };
-            let Some(want) = want else { continue };
+            let Some(want) = want(domain, model) else { continue };
             if best.as_ref().is_none_or(|(most, ..)| want > *most) {
                 best = Some((want, name.clone(), model));
             }
@@ -246,7 +267,9 @@
     best.map(|(_, name, model)| (name, model))
 }
 
-/// Before the first request, each model gets its share of a domain.
+/// Before the first request, each model gets its share of a domain. What is left over in a domain
+/// goes to the model that lacks most of its share of all endpoints: left free, a quarter of the
+/// endpoints of cmg-ruteo served nobody while callers were refused.
 fn want_by_share(domain: &Domain<'_>, model: &Model) -> Option<f64> {
     let assigned = f64::from(domain.members.get(&model.name).copied().unwrap_or(0));
     let missing = f64::from(domain.endpoints) * model.share - assigned;
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -49,6 +49,20 @@
     assert_eq!(staged.count(), 60, "each host keeps the model that its group does not serve");
 }
 
+/// Domains of eight whose shares are 5.4 and 2.6 endpoints have room for one group of each model by
+/// share alone; a quarter of the endpoints stood free while callers were refused (cmg-ruteo,
+/// scale-1).
+#[test]
+fn endpoints_that_no_share_covers_serve_too() {
+    let mut engine = support::engine();
+    engine.models[0].share = 0.67;
+    engine.models[1].share = 0.33;
+    let mut world = World::with_domains(1, 8, engine);
+    world.run(LEAD_MS);
+    let free = world.hosts.values().filter(|host| host.entry.membership.is_none()).count();
+    assert_eq!(free, 0, "{:?}", world.serving());
+}
+
 /// A group of four that lost a member must take the fourth from a pair, which has the weights
 /// staged, and not wait 16 s for a load; this starved the larger model on calm days.
 #[test]
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -67,12 +67,16 @@
 }
 
 pub fn configuration(version: u64) -> Configuration {
+    configuration_of(version, engine())
+}
+
+pub fn configuration_of(version: u64, engine: Engine) -> Configuration {
     let name = PoolName::try_from(POOL).unwrap();
     let pool = PoolConfig {
         name: name.clone(),
         max_connections: 428,
         cold_per_s: 36.0,
-        engine: Some(engine()),
+        engine: Some(engine),
     };
     let plain = PoolName::try_from("ledger").unwrap();
     let ledger =
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -8,6 +8,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::Order;
+use balsam_fleet::configuration::Engine;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::endpoint::MemberState;
 use balsam_fleet::endpoint::Membership;
@@ -68,6 +69,7 @@
 pub struct World {
     pub now_ms: u64,
     pub hosts: BTreeMap<VmName, Host>,
+    engine: Engine,
     pub fleet: Fleet,
     pub random: ChaCha8Rng,
     /// Whether a cut refuses connections at once instead of staying silent.
@@ -87,12 +89,17 @@
 impl World {
     /// Creates data centres `a` to `c` with two fabric domains of ten endpoints each.
     pub fn new(seed: u64) -> Self {
+        Self::with_domains(seed, 10, support::engine())
+    }
+
+    /// Creates data centres `a` to `c` with two fabric domains of `domain_size` endpoints each.
+    pub fn with_domains(seed: u64, domain_size: u16, engine: Engine) -> Self {
         let mut hosts = BTreeMap::new();
         for (d, data_centre) in ["a", "b", "c"].iter().enumerate() {
-            for i in 0..20_u16 {
+            for i in 0..2 * domain_size {
                 let port = 1_000 + d as u16 * 100 + i;
                 let name = format!("{data_centre}-{i:02}");
-                let domain = format!("{data_centre}{}", i / 10);
+                let domain = format!("{data_centre}{}", i / domain_size);
                 let entry = Endpoint {
                     data_centre: support::data_centre(data_centre),
                     domain: Some(FabricDomainName::try_from(domain).unwrap()),
@@ -104,6 +111,7 @@
         let mut world = Self {
             now_ms: 10_000,
             hosts,
+            engine,
             fleet: support::fleet("node"),
             random: ChaCha8Rng::seed_from_u64(seed),
             cuts_refuse: false,
@@ -126,7 +134,7 @@
         self.generation += 1;
         self.fleet = support::fleet("node");
         self.answers.clear();
-        let configuration = support::configuration(1);
+        let configuration = support::configuration_of(1, self.engine.clone());
         reduce(&mut self.fleet, self.now_ms, Event::Configuration(configuration.into()));
     }
 
@@ -328,8 +336,7 @@
     ) -> OrderAnswer {
         self.check_two(vm, group, epoch);
         let now_ms = self.now_ms;
-        let engine = support::engine();
-        let figures = engine.model(model).unwrap();
+        let figures = self.engine.model(model).unwrap().clone();
         let host = self.hosts.get_mut(vm).unwrap();
         if epoch < host.highest_epoch {
             return OrderAnswer::Refused;
@@ -401,7 +408,7 @@
         if !unready.is_empty() {
             self.violations.push(format!("{} ms: {group} opened without {unready:?}", self.now_ms));
         }
-        let at_ms = self.now_ms + support::engine().form_ms;
+        let at_ms = self.now_ms + self.engine.form_ms;
         self.hosts.get_mut(vm).unwrap().becomes = Some((at_ms, MemberState::Open));
         OrderAnswer::Accepted
     }
