Keep weights on the hosts of free endpoints

Ruled out: the split of endpoints (nothing else fits into the three), and the exchange between models, which does not help a model while both are short.

Change: a free endpoint without weights loads those of the model that lacks fewest endpoints to a group of its domain, or else of the one with fewest such hosts; before the first request, and later within the rate of the weight store. A staging order counts as done once the list shows it.

Tests a_spare_takes_the_place_of_a_lost_member_without_a_load and a_new_free_endpoint_loads_while_others_serve fail before.

--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -19,6 +19,7 @@
 use super::Planner;
 use super::USE_NOTE_MS;
 use super::View;
+use crate::configuration::Engine;
 use crate::configuration::Model;
 use crate::endpoint::Endpoint;
 use crate::endpoint::MemberState;
@@ -119,7 +120,10 @@
 ) {
     let staging_limit_ms = view.engine.models.iter().map(|m| m.load_ms).max().unwrap_or(0);
     let limit_ms = staging_limit_ms + STAGE_MARGIN_MS;
-    planner.staging.retain(|_, (_, since_ms)| view.now_ms < *since_ms + limit_ms);
+    planner.staging.retain(|vm, (model, since_ms)| {
+        let is_done = view.directory.get(vm).is_none_or(|e| e.staged.contains(model));
+        !is_done && view.now_ms < *since_ms + limit_ms
+    });
     planner.remember_models(view, observed);
     let mut usage = Use { view, groups: count_groups(planner, view, observed) };
     let mut domains = domains(planner, view, observed);
@@ -141,7 +145,7 @@
         start(planner, view, model, names, loads > 0, effects);
     }
     note_use(planner, &usage, &domains, effects);
-    stage(planner, &usage, observed, effects);
+    stage(planner, &usage, &domains, observed, effects);
 }
 
 fn note_use(
@@ -423,18 +427,40 @@
     observed.iter().filter(is_giver).map(|(key, _)| key.clone()).collect()
 }
 
-/// Keeps on each host the weights of the model that its group does not serve, so that it can take
-/// part in either; before the first request, when loads cost a tenth and none of the rate.
+/// Keeps weights on the hosts, so that an endpoint joins a group without a load: on each that serves
+/// those of the model that its group does not serve, and on each free one those that a group of its
+/// domain is likely to lack after the next loss.
+///
+/// Before the first request, loads cost a tenth and none of the rate. Later only free endpoints
+/// load: one without weights kept seven orphans of a group of eight waiting for 16 s.
 fn stage(
     planner: &mut Planner,
     usage: &Use<'_>,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
     observed: &BTreeMap<Key, Observed>,
     effects: &mut Vec<Effect>,
 ) {
     let view = usage.view;
-    if usage.has_demand() {
-        return;
+    let mut orders = stage_free(planner, view.engine, domains);
+    if !usage.has_demand() {
+        orders.extend(stage_members(planner, view, observed));
     }
+    for (vm, model) in orders.into_iter().take(STAGES_AT_ONCE) {
+        let rate_per_s = view.engine.loads_per_s;
+        if usage.has_demand() && !planner.pace.take(view.now_ms, rate_per_s, 1) {
+            break;
+        }
+        planner.staging.insert(vm.clone(), (model.clone(), view.now_ms));
+        planner.order(view, &vm, Order::Stage { model }, effects);
+    }
+}
+
+/// Returns the members of open groups whose hosts lack the weights of the other model.
+fn stage_members(
+    planner: &Planner,
+    view: &View<'_>,
+    observed: &BTreeMap<Key, Observed>,
+) -> Vec<(VmName, ModelName)> {
     let mut orders: Vec<(VmName, ModelName)> = Vec::new();
     for endpoint in view.directory.iter().filter(|e| e.pool == *view.pool) {
         if planner.staging.contains_key(&endpoint.vm) || endpoint.is_draining {
@@ -452,8 +478,55 @@
             orders.push((endpoint.vm.clone(), other.name.clone()));
         }
     }
-    for (vm, model) in orders.into_iter().take(STAGES_AT_ONCE) {
-        planner.staging.insert(vm.clone(), (model.clone(), view.now_ms));
-        planner.order(view, &vm, Order::Stage { model }, effects);
+    orders
+}
+
+/// Returns the free endpoints whose hosts have no weights, each with the model to load.
+fn stage_free(
+    planner: &Planner,
+    engine: &Engine,
+    domains: &BTreeMap<DomainName, Domain<'_>>,
+) -> Vec<(VmName, ModelName)> {
+    let mut orders = Vec::new();
+    for domain in domains.values() {
+        let (staging, others): (Vec<&Endpoint>, Vec<&Endpoint>) =
+            domain.free.iter().copied().partition(|e| planner.staging.contains_key(&e.vm));
+        let is_empty =
+            |e: &&Endpoint| e.staged.is_empty() && !planner.last_model.contains_key(&e.vm);
+        let empty: Vec<&Endpoint> = others.iter().copied().filter(is_empty).collect();
+        let mut fast: BTreeMap<&ModelName, u32> = BTreeMap::new();
+        for model in &engine.models {
+            let now = others.iter().filter(|e| is_fast(planner, e, model)).count();
+            let soon = staging.iter().filter(|e| {
+                planner.staging.get(&e.vm).is_some_and(|(staged, _)| *staged == model.name)
+            });
+            fast.insert(&model.name, (now + soon.count()) as u32);
+        }
+        for (at, endpoint) in empty.iter().enumerate() {
+            let left = (empty.len() - at) as u32;
+            let Some(model) = next_to_stage(engine, &fast, left) else { break };
+            *fast.entry(&model.name).or_default() += 1;
+            orders.push((endpoint.vm.clone(), model.name.clone()));
+        }
     }
+    orders
+}
+
+/// Returns the model that lacks the fewest endpoints to a group if `left` are enough for it, and
+/// otherwise the one with the fewest: the next loss may be of either.
+fn next_to_stage<'a>(
+    engine: &'a Engine,
+    fast: &BTreeMap<&ModelName, u32>,
+    left: u32,
+) -> Option<&'a Model> {
+    let count = |model: &Model| fast.get(&model.name).copied().unwrap_or(0);
+    let lacking = |model: &&Model| {
+        let lacks = model.size.saturating_sub(count(model));
+        count(model) > 0 && (1..=left).contains(&lacks)
+    };
+    let nearest = engine.models.iter().filter(lacking);
+    let nearest = nearest.min_by_key(|model| model.size - count(model));
+    nearest.or_else(|| {
+        engine.models.iter().min_by_key(|model| (count(model), std::cmp::Reverse(model.size)))
+    })
 }
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -63,6 +63,57 @@
     assert_eq!(free, 0, "{:?}", world.serving());
 }
 
+/// Creates domains of 19 endpoints for groups of eight and four, which leave three of each free.
+fn domains_with_spares(seed: u64) -> World {
+    let mut engine = support::engine();
+    engine.models[0].size = 8;
+    engine.models[1].size = 4;
+    World::with_domains(seed, 19, engine)
+}
+
+/// Three endpoints of each domain of 19 stay free for the next loss; without weights on their hosts
+/// a group of eight waited 16 s for the one that replaced its lost member (cmg-ruteo-grown,
+/// trouble-1: 27 endpoints free while two of nine groups were lost).
+#[test]
+fn a_spare_takes_the_place_of_a_lost_member_without_a_load() {
+    let mut world = domains_with_spares(6);
+    world.run(LEAD_MS);
+    let spares: Vec<_> = world.hosts.values().filter(|h| h.entry.membership.is_none()).collect();
+    assert_eq!(spares.len(), 18, "three in each of six domains");
+    assert!(spares.iter().all(|host| !host.entry.staged.is_empty()));
+    let before = world.serving();
+    let loads = world.loads.len();
+    let is_member = |host: &&crate::world::Host| {
+        is_large(host) && host.entry.membership.as_ref().map(|m| m.rank) == Some(2)
+    };
+    let vm = world.hosts.values().find(is_member).unwrap().entry.vm.clone();
+    world.kill(&vm);
+    world.apply(Event::Probed { vm, is_alive: false });
+    for _ in 0..5 {
+        demand(&mut world, LARGE, 1.5);
+        demand(&mut world, SMALL, 2.0);
+        world.run(950);
+    }
+    assert!(world.serving()[&support::model(LARGE)] >= before[&support::model(LARGE)]);
+    assert_eq!(world.loads.len(), loads, "no weights were loaded for it");
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
+
+/// Endpoints that replace lost ones come without weights. One of them kept seven orphans of a group
+/// of eight out of service until they were ordered to load together.
+#[test]
+fn a_new_free_endpoint_loads_while_others_serve() {
+    let mut world = domains_with_spares(7);
+    world.run(LEAD_MS);
+    demand(&mut world, LARGE, 1.5);
+    demand(&mut world, SMALL, 2.0);
+    let spare = world.hosts.values().find(|h| h.entry.membership.is_none()).unwrap();
+    let vm = spare.entry.vm.clone();
+    world.hosts.get_mut(&vm).unwrap().entry.staged.clear();
+    world.run(1_000);
+    assert!(!world.hosts[&vm].entry.staged.is_empty());
+}
+
 /// A group of four that lost a member must take the fourth from a pair, which has the weights
 /// staged, and not wait 16 s for a load; this starved the larger model on calm days.
 #[test]
