Keep one reader of the list while the store turns calls away

Each answer between two refusals gave the reading back to that node; the next reader noticed only after its own patience of 0.9 s, and a node that failed a read of its own slept through news.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -53,11 +53,8 @@
         /// Whether it answered in time.
         is_alive: bool,
     },
-    /// The store answered, or did not.
-    Store {
-        /// Whether it answered.
-        is_reached: bool,
-    },
+    /// The store refused a call of this node, or did not answer it.
+    StoreLost,
     /// A call about the right to plan ended.
     Lease(LeaseNews),
     /// An order was answered, or was not answered in time.
@@ -228,7 +225,7 @@
     pub data_centre: DataCentreName,
     /// Whose figures these are.
     pub scope: Scope,
-    /// Whether its last call to the store was answered.
+    /// Whether the store has answered it for a while.
     pub has_store: bool,
     /// Whether it knows a current list of endpoints, which others may take over.
     pub has_list: bool,
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -74,7 +74,7 @@
                 lose_groups_of(fleet, now_ms, &vm, &mut effects);
             }
         }
-        Event::Store { is_reached } => fleet.has_store = is_reached,
+        Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(news) => lease(fleet, now_ms, news, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
             if matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused) {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -84,6 +84,11 @@
 /// Part of the retry budget that is used: nodes disagree for a while on how many they are.
 const BUDGET_SHARE: f64 = 0.6;
 
+/// A node that the store left without an answer does no work for others for this long. The store
+/// turns some of a node's calls away for seconds; taking each answer between them for its return
+/// moved the work back and forth, and a drain was known 2.2 s late (cmg-ruteo, scale-2).
+const STORE_TRUST_MS: u64 = 3_000;
+
 /// Nodes of a data centre that ask an endpoint whether it lives when another node found it silent:
 /// one may have stopped itself.
 const WITNESSES: usize = 2;
@@ -124,7 +129,7 @@
     pub planner: Planner,
     pub(crate) budgets: BTreeMap<PoolName, RetryBudget>,
     pub(crate) peers: BTreeMap<Arc<str>, Peer>,
-    pub(crate) has_store: bool,
+    pub(crate) store_lost_ms: Option<u64>,
     pub(crate) kinds: BTreeMap<Ticket, (Kind, Arrival)>,
 }
 
@@ -146,7 +151,7 @@
             planner: Planner::default(),
             budgets: BTreeMap::new(),
             peers: BTreeMap::new(),
-            has_store: true,
+            store_lost_ms: None,
             kinds: BTreeMap::new(),
         }
     }
@@ -175,7 +180,7 @@
     pub fn place(&self, now_ms: u64) -> usize {
         let before = self.near_peers(now_ms).filter(|(name, peer)| {
             let rank = |has_store: bool, name: &str| (!has_store, name.to_owned());
-            rank(peer.has_store, name) < rank(self.has_store, &self.settings.node)
+            rank(peer.has_store, name) < rank(self.has_store(now_ms), &self.settings.node)
         });
         before.count()
     }
@@ -198,6 +203,11 @@
         })
     }
 
+    /// Whether the store has answered this node for a while.
+    fn has_store(&self, now_ms: u64) -> bool {
+        self.store_lost_ms.is_none_or(|at_ms| now_ms >= at_ms + STORE_TRUST_MS)
+    }
+
     /// Whether the sums of a data centre are known.
     pub(crate) fn has_summary(&self, now_ms: u64, data_centre: &DataCentreName) -> bool {
         self.peers.get(data_centre.as_str()).is_some_and(|peer| peer.is_live(now_ms))
@@ -235,7 +245,7 @@
             node: self.settings.node.clone(),
             data_centre: self.settings.data_centre.clone(),
             scope: Scope::Node,
-            has_store: self.has_store,
+            has_store: self.has_store(now_ms),
             has_list: self.is_ready() && self.directory.age_ms(now_ms) < LIST_SILENCE_MS,
             version: self.version(),
             lease_end: self.lease.end(),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -392,7 +392,7 @@
     let mut fleet = support::fleet("node1");
     reduce(&mut fleet, 1_000, Event::Peer(report("node2")));
     assert_eq!(fleet.place(1_000), 0);
-    reduce(&mut fleet, 1_010, Event::Store { is_reached: false });
+    reduce(&mut fleet, 1_010, Event::StoreLost);
     assert_eq!(fleet.place(1_010), 1);
     assert!(!fleet.report(1_010).has_store);
     let other = PeerReport { has_store: false, ..report("node2") };
