Count prompts that nobody reported yet before a group is taken for lost

Cause: a group counts as silent after 1.4 of its passes.

Change: the limit adds the time for which the groups of a model read unreported prompts on average, the figure that the choice of a group uses.

Test a_group_that_reads_for_others_is_not_taken_for_lost fails before.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns the time for which groups read prompts that other nodes have sent since their reports.
-fn unseen_ms(fleet: &Fleet, now_ms: u64, kind: &Kind) -> f64 {
+pub(crate) fn unseen_ms(fleet: &Fleet, now_ms: u64, kind: &Kind) -> f64 {
     let Some(model) = &kind.model else { return 0.0 };
     fleet.demand.total(now_ms, model).reading * fleet.blind_ms(now_ms)
 }
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -1,5 +1,6 @@
 //! The reducer: one event in, the effects to carry out.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -7,6 +8,7 @@
 use balsam_types::GroupName;
 use balsam_types::VmName;
 
+use crate::choice;
 use crate::choice::choose;
 use crate::choice::places;
 use crate::choice::read_wait_ms;
@@ -486,16 +488,29 @@
     }
     let Some((_, engine)) = fleet.engine_pool() else { return };
     let engine: Engine = engine.clone();
-    let heads: Vec<Server> =
-        fleet.serving.all().filter(|(_, s)| s.group.is_some()).map(|(_, s)| s.clone()).collect();
-    for server in heads {
+    let mut unseen_ms: BTreeMap<Kind, f64> = BTreeMap::new();
+    let is_watched = |server: &Server| {
+        server.group.is_some() && fleet.loads.get(&server.vm).is_some_and(|load| load.in_flight > 0)
+    };
+    let heads: Vec<(Kind, Server)> = fleet
+        .serving
+        .all()
+        .filter(|(_, server)| is_watched(server))
+        .map(|(kind, server)| (kind.clone(), server.clone()))
+        .collect();
+    for (kind, server) in heads {
+        let groups = fleet.serving.of(&kind).len() as f64;
+        let unseen_ms = *unseen_ms
+            .entry(kind)
+            .or_insert_with_key(|kind| choice::unseen_ms(fleet, now_ms, kind) / groups.max(1.0));
         let Some(group) = &server.group else { continue };
         let Some(load) = fleet.loads.get(&server.vm).filter(|load| load.in_flight > 0) else {
             continue;
         };
         let silent_ms = now_ms.saturating_sub(load.progress_ms.load(Ordering::Relaxed));
         let (in_flight, unread) = load.total(now_ms);
-        let mut limit_ms = suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread);
+        let mut limit_ms =
+            suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread, unseen_ms);
         if load.started == 0 {
             // Nothing shows the passes of the group but the prompts that wait to be read.
             limit_ms = limit_ms.max(suspicion::UNSTARTED_SILENCE_MS);
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -115,8 +115,17 @@
 }
 
 /// Returns the silence that the load of a group does not explain.
-pub fn silence_limit_ms(engine: &Engine, pace: f64, in_flight: u32, unread_tokens: u64) -> u64 {
-    let pass_ms = placement::pass_ms(engine, pace, in_flight, unread_tokens);
+///
+/// `unseen_ms` is the time for which a group reads prompts that nobody has reported yet: with 195
+/// nodes that is more than a pass, and groups at work were taken for lost.
+pub fn silence_limit_ms(
+    engine: &Engine,
+    pace: f64,
+    in_flight: u32,
+    unread_tokens: u64,
+    unseen_ms: f64,
+) -> u64 {
+    let pass_ms = placement::pass_ms(engine, pace, in_flight, unread_tokens) + unseen_ms;
     (SILENT_PASSES * pass_ms + SILENCE_MARGIN_MS).max(SILENCE_MIN_MS) as u64
 }
 
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -398,4 +398,34 @@
     let other = PeerReport { has_store: false, ..report("node2") };
     reduce(&mut fleet, 1_020, Event::Peer(other));
     assert_eq!(fleet.place(1_020), 0, "somebody tries again");
+    reduce(&mut fleet, 3_000, Event::Peer(report("node2")));
+    assert_eq!(fleet.place(3_000), 1, "an answer between two refusals is no return");
+    reduce(&mut fleet, 4_020, Event::Peer(report("node2")));
+    assert_eq!(fleet.place(4_020), 0);
+}
+
+/// With 195 nodes the prompts that nobody has reported yet lengthen a pass by more than the silence
+/// that counted as a loss: healthy groups got no requests, and each of their members a probe
+/// (galamb-ledger-large, trouble-1).
+#[rstest]
+#[case::nothing_unseen(0.0, true)]
+#[case::much_unseen(1.2, false)]
+fn a_group_that_reads_for_others_is_not_taken_for_lost(
+    #[case] reading_groups: f64,
+    #[case] is_asked: bool,
+) {
+    let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
+    let busy = BusyGroups { total: reading_groups, reading: reading_groups };
+    let far = PeerReport {
+        data_centre: support::data_centre("b"),
+        scope: Scope::DataCentre { nodes: 150, age_ms: 300 },
+        demand: vec![(support::model(support::LARGE), busy)],
+        ..report("b")
+    };
+    reduce(&mut fleet, 2_000, Event::Peer(far));
+    reduce(&mut fleet, 2_000, Event::Arrive(arrival(1, 2_000)));
+    reduce(&mut fleet, 2_100, Event::Started(1));
+    let effects = reduce(&mut fleet, 2_250, Event::Tick);
+    let asked = effects.iter().any(|e| matches!(e, balsam_fleet::Effect::Probe { .. }));
+    assert_eq!(asked, is_asked);
 }
