Take an unlisted head for dead only if it leaves a probe unanswered

Orders were left unanswered and carried out late at the time (applied_late), and two unanswered orders, with others of the data centre answering, counted as the end of the head; its members joined another group beside it.

Change: the head of an ending group that is not listed is probed together with its members. It counts as dead after two unanswered orders and a probe without an answer; an answered probe starts the count again.

Test a_head_that_left_the_list_and_answers_probes_keeps_its_members fails before (three endpoints joined beside the open head).

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -99,6 +99,8 @@
     has_refused: bool,
     /// Orders that the head left unanswered while others of its data centre answered.
     unanswered: u32,
+    /// Whether the head left a probe unanswered meanwhile: endpoints that live may leave orders so.
+    is_head_dead: bool,
 }
 
 /// The planner's state; only what the list of endpoints does not show.
@@ -218,6 +220,20 @@
         }
     }
 
+    /// Notes the answer to a probe of an endpoint that is no longer listed, which may lead a group on.
+    pub fn departed_probed(&mut self, now_ms: u64, vm: &VmName, is_alive: bool) {
+        let Some(data_centre) = self.departed.get(vm).map(|(_, e)| e.data_centre.clone()) else {
+            return;
+        };
+        let is_dead = !is_alive && self.hears(now_ms, &data_centre);
+        for ending in self.ending.values_mut().filter(|ending| ending.head == *vm) {
+            ending.is_head_dead = is_dead;
+            if is_alive {
+                ending.unanswered = 0;
+            }
+        }
+    }
+
     /// Whether an endpoint of a data centre answered this node just now.
     fn hears(&self, now_ms: u64, data_centre: &DataCentreName) -> bool {
         self.heard.get(data_centre).is_some_and(|heard_ms| now_ms < heard_ms + HEARD_MS)
--- a/crates/fleet/src/planner/ending.rs
+++ b/crates/fleet/src/planner/ending.rs
@@ -33,6 +33,7 @@
             is_graceful,
             has_refused: false,
             unanswered: 0,
+            is_head_dead: false,
         };
         self.ending.insert(key.clone(), ending);
         let (group, epoch) = key.clone();
@@ -49,14 +50,16 @@
         for key in keys {
             let Some(ending) = self.ending.get(&key).cloned() else { continue };
             let is_listed = view.directory.get(&ending.head).is_some();
-            let is_silent = !is_listed && ending.unanswered >= HEAD_UNANSWERED;
+            let is_silent =
+                !is_listed && ending.unanswered >= HEAD_UNANSWERED && ending.is_head_dead;
             let has_left = ending.has_refused && self.has_left(view, &key, &ending.head);
             if is_silent || has_left {
                 self.release(&key);
                 continue;
             }
             if !is_listed {
-                // An answer of another member shows that this node is not the one cut off.
+                // An answer of another member shows that this node is not the one cut off, and one of
+                // the head that it serves on although it left the list.
                 self.probe_members(view, &ending, effects);
             }
             let head = observed.get(&key).and_then(Observed::head);
@@ -81,12 +84,14 @@
     }
 
     fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
-        for vm in ending.members.iter().filter(|vm| **vm != ending.head) {
-            let Some(endpoint) = view.directory.get(vm) else { continue };
+        for vm in &ending.members {
+            let departed = self.departed.get(vm).map(|(_, endpoint)| endpoint.address);
+            let address = view.directory.get(vm).map(|endpoint| endpoint.address).or(departed);
+            let Some(address) = address else { continue };
             let sent = (vm.clone(), PROBE);
             if let Entry::Vacant(unsent) = self.sent.entry(sent) {
                 unsent.insert(view.now_ms);
-                effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
+                effects.push(Effect::Probe { vm: vm.clone(), address });
             }
         }
     }
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -67,8 +67,9 @@
         Event::Ended { ticket, end } => ended(fleet, now_ms, ticket, end, &mut effects),
         Event::Peer(report) => peer(fleet, now_ms, report, &mut effects),
         Event::Probed { vm, is_alive } => {
-            if let Some(endpoint) = fleet.directory.get(&vm) {
-                fleet.planner.probed(now_ms, endpoint, is_alive);
+            match fleet.directory.get(&vm) {
+                Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
+                None => fleet.planner.departed_probed(now_ms, &vm, is_alive),
             }
             if is_alive {
                 fleet.suspicions.answers(&vm);
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -259,3 +259,34 @@
         assert!(window <= 30, "{window} loads began within 5 s");
     }
 }
+
+/// Some endpoints leave the list without a word and serve on for seconds. While orders were left
+/// unanswered and carried out late, two of them counted as the end of such a head, and its members
+/// joined another group beside it (TWO on cmg-ruteo, trouble-1).
+#[test]
+fn a_head_that_left_the_list_and_answers_probes_keeps_its_members() {
+    let mut world = World::new(8);
+    world.run(LEAD_MS);
+    demand(&mut world, LARGE, 4.0);
+    demand(&mut world, SMALL, 8.0);
+    let head = world.hosts.values().find(|h| world.serves(h) && is_large(h)).unwrap();
+    let head = head.entry.vm.clone();
+    world.hosts.get_mut(&head).unwrap().is_unlisted = true;
+    world.late_share = 1.0;
+    world.run(1_400);
+    world.late_share = 0.0;
+    demand(&mut world, LARGE, 4.0);
+    demand(&mut world, SMALL, 12.0);
+    world.run(1_500);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+    // Its members are used again once it is gone.
+    world.kill(&head);
+    world.run(3_000);
+    let is_left = |host: &&crate::world::Host| {
+        host.entry.membership.as_ref().is_some_and(|m| m.rank > 0)
+            && !world.serves(host)
+            && host.members().first() == Some(&head)
+    };
+    assert_eq!(world.hosts.values().filter(is_left).count(), 0);
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -50,6 +50,8 @@
     silent_since_ms: Option<u64>,
     /// Whether the planner cannot reach it and the list does not show it.
     pub is_cut: bool,
+    /// Whether it left the list without a word and serves on.
+    pub is_unlisted: bool,
     members: Vec<VmName>,
     model: Option<ModelName>,
     last_model: Option<ModelName>,
@@ -212,7 +214,12 @@
         let now_ms = self.now_ms;
         let is_listed =
             |host: &&Host| host.silent_since_ms.is_none_or(|since_ms| now_ms < since_ms + LAPSE_MS);
-        let listed = self.hosts.values().filter(is_listed).map(|host| host.entry.clone());
+        let listed = self
+            .hosts
+            .values()
+            .filter(is_listed)
+            .filter(|host| !host.is_unlisted)
+            .map(|host| host.entry.clone());
         let whole = ListChange::Whole(listed.collect());
         self.apply(Event::List(whole));
     }
@@ -421,6 +428,7 @@
             life: Life::Up,
             silent_since_ms: None,
             is_cut: false,
+            is_unlisted: false,
             members: Vec::new(),
             model: None,
             last_model: None,
@@ -430,6 +438,11 @@
         }
     }
 
+    /// Returns the members of its group, the head first.
+    pub fn members(&self) -> &[VmName] {
+        &self.members
+    }
+
     fn membership_of(&mut self, group: &GroupName, epoch: u64) -> Option<&mut Membership> {
         self.entry.membership.as_mut().filter(|m| m.group == *group && m.epoch == epoch)
     }
