Remove the list that nodes handed to each other

Cause: the list was handed on because a start was taken to read 16 pages; a page of the store holds 500 endpoints, so 760 take two calls.

Conclusion: removed.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -234,8 +234,6 @@
     pub scope: Scope,
     /// Whether the store has answered it for a while.
     pub has_store: bool,
-    /// Whether it knows a current list of endpoints, which others may take over.
-    pub has_list: bool,
     /// The version of the configuration that it has in force; zero before the first.
     pub version: u64,
     /// The position after the last known record of the right to plan.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -338,9 +338,9 @@
         Scope::Node => {}
     }
     fleet.loads.report(now_ms, &report);
-    let PeerReport { node, data_centre, scope, has_store, has_list, demand, lost, .. } = report;
+    let PeerReport { node, data_centre, scope, has_store, demand, lost, .. } = report;
     fleet.demand.report(now_ms, &node, demand);
-    let peer = Peer { heard_ms: now_ms, data_centre, scope, has_store, has_list, lost };
+    let peer = Peer { heard_ms: now_ms, data_centre, scope, has_store, lost };
     fleet.peers.insert(node, peer);
 }
 
@@ -458,9 +458,8 @@
     for kind in fleet.waiting.kinds() {
         serve_waiting(fleet, now_ms, &kind, effects);
     }
-    let unserved: Vec<Kind> = fleet.waiting.kinds();
-    let unserved: Vec<Kind> =
-        unserved.into_iter().filter(|kind| places(fleet, now_ms, kind).total == 0).collect();
+    let mut unserved = fleet.waiting.kinds();
+    unserved.retain(|kind| places(fleet, now_ms, kind).total == 0);
     for (ticket, refusal) in fleet.waiting.expired(now_ms, |kind| !unserved.contains(kind)) {
         effects.push(Effect::Refuse { ticket, refusal });
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -17,7 +17,6 @@
 use crate::configuration::Engine;
 use crate::demand::Demand;
 use crate::directory::Directory;
-use crate::directory::LIST_SILENCE_MS;
 use crate::event::Arrival;
 use crate::event::LostGroup;
 use crate::event::PeerLoad;
@@ -56,7 +55,6 @@
     pub data_centre: DataCentreName,
     pub scope: Scope,
     pub has_store: bool,
-    pub has_list: bool,
     pub lost: Vec<LostGroup>,
 }
 
@@ -237,11 +235,6 @@
         self.peers.get(data_centre.as_str()).is_some_and(|peer| peer.is_live(now_ms))
     }
 
-    /// Whether another node of the data centre has a current list of endpoints.
-    pub fn can_copy_list(&self, now_ms: u64) -> bool {
-        self.near_peers(now_ms).any(|(_, peer)| peer.has_list)
-    }
-
     /// Returns the version of the configuration in force; zero before the first.
     pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
@@ -270,7 +263,6 @@
             data_centre: self.settings.data_centre.clone(),
             scope: Scope::Node,
             has_store: self.has_store(now_ms),
-            has_list: self.is_ready() && self.directory.age_ms(now_ms) < LIST_SILENCE_MS,
             version: self.version(),
             lease_end: self.lease.end(),
             lease_released: self.lease.is_released(),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -35,7 +35,6 @@
         data_centre: support::data_centre("a"),
         scope: Scope::Node,
         has_store: true,
-        has_list: true,
         version: 1,
         lease_end: 0,
         lease_released: false,
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -144,15 +144,13 @@
     heard_ms: u64,
     /// Known once it was heard.
     data_centre: Option<DataCentreName>,
-    /// Whether it knows a current list of endpoints.
-    has_list: bool,
     /// When it was last told where other nodes are.
     told_ms: u64,
 }
 
 impl Peer {
     fn found(now_ms: u64, data_centre: Option<DataCentreName>) -> Self {
-        Self { heard_ms: now_ms, data_centre, has_list: false, told_ms: 0 }
+        Self { heard_ms: now_ms, data_centre, told_ms: 0 }
     }
 }
 
@@ -223,21 +221,6 @@
         self.peers().values().any(|peer| peer.data_centre.is_some())
     }
 
-    /// Returns a node that knows a current list of endpoints, one of the own data centre if
-    /// possible; nodes that start together do not all choose the same one.
-    pub fn node_with_list(&self) -> Option<SocketAddr> {
-        let own = self.hub.read(|fleet| fleet.settings.data_centre.clone());
-        let peers = self.peers();
-        let is_live = |peer: &Peer| peer.has_list && now_ms() < peer.heard_ms + RELAY_LIVE_MS;
-        let (near, far): (Vec<_>, Vec<_>) = peers
-            .iter()
-            .filter(|(_, peer)| is_live(peer))
-            .partition(|(_, peer)| peer.data_centre.as_ref() == Some(&own));
-        let from = if near.is_empty() { far } else { near };
-        let at = rand::random_range(0..from.len().max(1));
-        from.get(at).map(|(address, _)| **address)
-    }
-
     /// Sends what a read of the list found to the nodes of the own data centre.
     pub async fn send_news(&self, from: u64, to: u64, changed: Vec<ChangedRecord>) {
         let near = self.addresses(true);
@@ -437,7 +420,6 @@
         let peer = peers.entry(from).or_insert(Peer::found(now_ms(), None));
         peer.heard_ms = now_ms();
         peer.data_centre = Some(report.data_centre.clone());
-        peer.has_list = report.has_list;
     }
 
     /// Notes the nodes that a data centre has, and keeps its sums to pass them on.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,6 @@
 mod front;
 mod gossip;
 mod hub;
-pub mod list_copy;
 mod message;
 mod metrics;
 mod notes;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -107,12 +107,10 @@
     lease_released: bool,
     #[prost(bool, tag = "9")]
     has_store: bool,
-    #[prost(bool, tag = "10")]
-    has_list: bool,
-    #[prost(uint32, tag = "11")]
+    #[prost(uint32, tag = "10")]
     known_nodes: u32,
     /// Set in a report that gives the sums of a data centre.
-    #[prost(message, optional, tag = "12")]
+    #[prost(message, optional, tag = "11")]
     summary: Option<Summary>,
 }
 
@@ -201,7 +199,6 @@
         lease_end: report.lease_end,
         lease_released: report.lease_released,
         has_store: report.has_store,
-        has_list: report.has_list,
         known_nodes: *known_nodes,
         summary,
     };
@@ -292,7 +289,6 @@
         data_centre: DataCentreName::try_from(report.data_centre).ok()?,
         scope,
         has_store: report.has_store,
-        has_list: report.has_list,
         version: report.version,
         lease_end: report.lease_end,
         lease_released: report.lease_released,
