Use the usual terms for reports and summaries between nodes

Cause: a reading of the whole change found names that a newcomer has to guess: told, words, Found, sums, hears.

Ruled out: changes of behaviour; the comparison that ranks nodes compares the same pair without two copies of a name for each peer.

Change: reports, reporters, Observed, Reported, summary, has_heard_nodes, ReportMessage; comments follow.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -214,7 +214,7 @@
 pub enum Scope {
     /// Those of the node that sent it.
     Node,
-    /// The sums of a whole data centre.
+    /// The summary of a whole data centre.
     DataCentre {
         /// Nodes that are summed up.
         nodes: u32,
@@ -226,7 +226,7 @@
 /// What another node, or a data centre as a whole, said about its load.
 #[derive(Debug, Clone)]
 pub struct PeerReport {
-    /// The node; the name of the data centre for its sums.
+    /// The node; the name of the data centre for its summary.
     pub node: Arc<str>,
     /// Its data centre.
     pub data_centre: DataCentreName,
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -331,7 +331,7 @@
     }
     let is_own_centre = report.data_centre == fleet.settings.data_centre;
     match report.scope {
-        // What is summed up here is known from each node.
+        // The nodes of the own data centre report each for itself.
         Scope::DataCentre { .. } if is_own_centre => return,
         Scope::DataCentre { .. } => forget_nodes_of(fleet, &report.data_centre),
         Scope::Node if fleet.has_summary(now_ms, &report.data_centre) => return,
@@ -344,7 +344,7 @@
     fleet.peers.insert(node, peer);
 }
 
-/// Forgets the single nodes of a data centre, whose sums take their place.
+/// Forgets the single nodes of a data centre, whose summary takes their place.
 fn forget_nodes_of(fleet: &mut Fleet, data_centre: &DataCentreName) {
     let is_single = |peer: &Peer| peer.scope == Scope::Node && peer.data_centre == *data_centre;
     let names: Vec<Arc<str>> = fleet
@@ -360,9 +360,9 @@
     }
 }
 
-/// Takes the word of another node that a group is lost.
+/// Takes over that another node reports a group as lost.
 ///
-/// The witnesses of the member ask it themselves; the others take the word of two nodes. When each
+/// The witnesses of the member ask it themselves; the others believe two nodes. When each
 /// of 195 nodes asked, and asked again each second, eleven lost endpoints brought 15,000 probes.
 fn hear_lost(
     fleet: &mut Fleet,
@@ -371,7 +371,7 @@
     lost: &LostGroup,
     effects: &mut Vec<Effect>,
 ) {
-    let is_enough = fleet.suspicions.told(now_ms, node, lost);
+    let is_enough = fleet.suspicions.reported_lost(now_ms, node, lost);
     if fleet.suspicions.is_lost(&lost.group, lost.epoch) {
         return;
     }
@@ -389,7 +389,7 @@
         }
     } else if is_enough {
         let member = lost.member.clone();
-        if fleet.suspicions.lose_as_told(now_ms, &head, &key, member.clone()) {
+        if fleet.suspicions.lose_as_reported(now_ms, &head, &key, member.clone()) {
             abandon(fleet, &head, &key, Some(member), effects);
         }
     }
@@ -425,7 +425,7 @@
         return;
     }
     if member.as_ref().is_some_and(|vm| !fleet.is_witness(now_ms, vm)) {
-        let evidence = Evidence::Found { at_ms: now_ms };
+        let evidence = Evidence::Observed { at_ms: now_ms };
         fleet.suspicions.leave_to_witnesses(now_ms, head, evidence);
     }
     abandon(fleet, head, key, member, effects);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -100,7 +100,7 @@
 pub(crate) struct Unseen {
     /// Of nodes that tell of each request.
     pub single_ms: f64,
-    /// Of data centres that are known by their sums.
+    /// Of data centres that are known by their summary.
     pub summed_ms: f64,
 }
 
@@ -200,11 +200,8 @@
     /// not grow with the number of nodes; a node that hears no other one has place 0. Nodes that the
     /// store turns away come last, as they cannot do that work.
     pub fn place(&self, now_ms: u64) -> usize {
-        let before = self.near_peers(now_ms).filter(|(name, peer)| {
-            let rank = |has_store: bool, name: &str| (!has_store, name.to_owned());
-            rank(peer.has_store, name) < rank(self.has_store(now_ms), &self.settings.node)
-        });
-        before.count()
+        let own = (!self.has_store(now_ms), &*self.settings.node);
+        self.near_peers(now_ms).filter(|(name, peer)| (!peer.has_store, &***name) < own).count()
     }
 
     /// Whether this node finds out for its data centre if an endpoint lives.
@@ -230,7 +227,7 @@
         self.store_lost_ms.is_none_or(|at_ms| now_ms >= at_ms + STORE_TRUST_MS)
     }
 
-    /// Whether the sums of a data centre are known.
+    /// Whether the summary of a data centre is known.
     pub(crate) fn has_summary(&self, now_ms: u64, data_centre: &DataCentreName) -> bool {
         self.peers.get(data_centre.as_str()).is_some_and(|peer| peer.is_live(now_ms))
     }
@@ -272,13 +269,13 @@
         }
     }
 
-    /// Returns what the nodes of other data centres are told of this one: the sums over its nodes.
+    /// Returns what the nodes of other data centres are told of this one: the summary of its nodes.
     pub fn summary(&self, now_ms: u64) -> PeerReport {
         let near: BTreeSet<&Arc<str>> = self.near_peers(now_ms).map(|(name, _)| name).collect();
         let mut lost: Vec<LostGroup> = self.suspicions.lost(now_ms).collect();
-        for told in self.near_peers(now_ms).flat_map(|(_, peer)| &peer.lost) {
-            if !lost.contains(told) {
-                lost.push(told.clone());
+        for reported in self.near_peers(now_ms).flat_map(|(_, peer)| &peer.lost) {
+            if !lost.contains(reported) {
+                lost.push(reported.clone());
             }
         }
         let ages_ms = self.near_peers(now_ms).map(|(_, peer)| now_ms - peer.heard_ms);
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -42,12 +42,12 @@
 /// How long a group that was found lost is not used; its dissolution takes less.
 const LOST_MS: u64 = 6_000;
 
-/// How long a group is not used on the word of witnesses alone: a few of their reports.
-const TOLD_MS: u64 = 1_500;
+/// How long a group is not used on the reports of other nodes alone: a few of their intervals.
+const REPORTED_MS: u64 = 1_500;
 
-/// Nodes whose word makes another one give up a group that it did not ask about: a node that is
+/// Nodes that must report a group as lost before another one believes it unasked: a node that is
 /// itself cut off finds every group lost.
-const WORDS: usize = 2;
+const CONFIRMATIONS: usize = 2;
 
 /// What is suspected of a head.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,12 +87,12 @@
     /// It is a witness: it asked the member, and goes on asking.
     Witnessed,
     /// It asked the member once, at this time, and leaves the rest to the witnesses.
-    Found {
+    Observed {
         /// When it asked.
         at_ms: u64,
     },
-    /// Other nodes said so.
-    Told,
+    /// Other nodes reported it.
+    Reported,
 }
 
 /// What to do about a silent head.
@@ -110,8 +110,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Suspicions {
     by_head: HashMap<VmName, Suspicion>,
-    /// The nodes that said of a group that it is lost, with the time.
-    words: BTreeMap<(GroupName, u64), BTreeMap<Arc<str>, u64>>,
+    /// The nodes that reported a group as lost, with the time.
+    reporters: BTreeMap<(GroupName, u64), BTreeMap<Arc<str>, u64>>,
 }
 
 /// Returns the silence that the load of a group does not explain.
@@ -199,25 +199,25 @@
         true
     }
 
-    /// Counts the word of another node that a group is lost, and returns whether it is enough.
-    pub fn told(&mut self, now_ms: u64, node: &Arc<str>, lost: &LostGroup) -> bool {
-        let words = self.words.entry((lost.group.clone(), lost.epoch)).or_default();
-        words.insert(node.clone(), now_ms);
-        words.retain(|_, at_ms| now_ms < *at_ms + TOLD_MS);
-        let is_enough = words.len() >= WORDS;
+    /// Notes that another node reports a group as lost; returns whether enough nodes do.
+    pub fn reported_lost(&mut self, now_ms: u64, node: &Arc<str>, lost: &LostGroup) -> bool {
+        let reporters = self.reporters.entry((lost.group.clone(), lost.epoch)).or_default();
+        reporters.insert(node.clone(), now_ms);
+        reporters.retain(|_, at_ms| now_ms < *at_ms + REPORTED_MS);
+        let is_enough = reporters.len() >= CONFIRMATIONS;
         let known =
             self.by_head.values_mut().find(|s| s.group == lost.group && s.epoch == lost.epoch);
         if let Some(Stage::Lost { until_ms, evidence, .. }) = known.map(|s| &mut s.stage)
             && *evidence != Evidence::Witnessed
             && is_enough
         {
-            *until_ms = now_ms + TOLD_MS;
+            *until_ms = now_ms + REPORTED_MS;
         }
         is_enough
     }
 
-    /// Marks a group as lost on the word of others; false if it was already.
-    pub fn lose_as_told(
+    /// Marks a group as lost on the reports of others; false if it was already.
+    pub fn lose_as_reported(
         &mut self,
         now_ms: u64,
         head: &VmName,
@@ -225,7 +225,7 @@
         member: VmName,
     ) -> bool {
         let is_new = self.lose(now_ms, head, group, Some(member));
-        self.leave_to_witnesses(now_ms, head, Evidence::Told);
+        self.leave_to_witnesses(now_ms, head, Evidence::Reported);
         is_new
     }
 
@@ -235,7 +235,7 @@
             self.by_head.get_mut(head).map(|s| &mut s.stage)
         {
             *evidence = known_by;
-            *until_ms = now_ms + TOLD_MS;
+            *until_ms = now_ms + REPORTED_MS;
         }
     }
 
@@ -265,7 +265,8 @@
 
     /// Forgets suspicions that have ended, and those of heads without attempts of this node.
     pub fn expire(&mut self, now_ms: u64, has_attempts: impl Fn(&VmName) -> bool) {
-        self.words.retain(|_, words| words.values().any(|at_ms| now_ms < *at_ms + TOLD_MS));
+        self.reporters
+            .retain(|_, reporters| reporters.values().any(|at_ms| now_ms < *at_ms + REPORTED_MS));
         self.by_head.retain(|head, s| match &s.stage {
             Stage::Lost { until_ms, .. } => now_ms < *until_ms,
             Stage::Asking { .. } => has_attempts(head),
@@ -274,8 +275,8 @@
 
     /// Returns the groups that this node found lost, with the member that did not answer it.
     ///
-    /// What a node was told is not told on, and what it found itself only for a while: otherwise
-    /// nodes would confirm each other's word for ever.
+    /// What other nodes reported is not reported again, and what it observed itself only for a while:
+    /// otherwise nodes would confirm each other's reports for ever.
     pub fn lost(&self, now_ms: u64) -> impl Iterator<Item = LostGroup> {
         self.by_head.values().filter_map(move |suspicion| {
             let Stage::Lost { member: Some(member), evidence, .. } = &suspicion.stage else {
@@ -283,8 +284,8 @@
             };
             let is_own = match evidence {
                 Evidence::Witnessed => true,
-                Evidence::Found { at_ms } => now_ms < at_ms + TOLD_MS,
-                Evidence::Told => false,
+                Evidence::Observed { at_ms } => now_ms < at_ms + REPORTED_MS,
+                Evidence::Reported => false,
             };
             is_own.then(|| LostGroup {
                 group: suspicion.group.clone(),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -27,7 +27,7 @@
 use crate::message;
 use crate::message::Envelope;
 use crate::message::KnownNode;
-use crate::message::Told;
+use crate::message::ReportMessage;
 
 /// Shortest pause between two reports: nodes that choose on older figures choose the same endpoint.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -39,27 +39,27 @@
 const PER_FAR_PEER: Duration = Duration::from_millis(15);
 
 /// Nodes of other data centres up to which each gets this node's own reports. Beyond, the pause
-/// between two of them exceeds that of the sums of whole data centres.
+/// between two of them exceeds that of the summaries of whole data centres.
 const DIRECT_FAR_NODES: usize = 24;
 
-/// Pause between two sums of the own data centre that a relay sends to the others.
+/// Pause between two summaries of the own data centre that a relay sends to the others.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Every how many sums a relay also passes on those of other data centres: both relays do, so a
+/// Every how many summaries a relay also passes on those of other data centres: both relays do, so a
 /// node hears them as often as they are sent.
 const FORWARD_EVERY: u32 = 2;
 
-/// Nodes of a data centre that send its sums and pass on those of others: one may have stopped.
+/// Nodes of a data centre that send its summary and pass on those of others: one may have stopped.
 const RELAYS: usize = 2;
 
 /// A node that was not heard for this long is no relay.
 const RELAY_LIVE_MS: u64 = 1_500;
 
-/// Sums that came longer ago are not passed on.
+/// Summaries that came longer ago are not passed on.
 const FORWARD_MS: u64 = 1_000;
 
 /// Pause between two answers to a node that knows few others.
-const TELL_NODES_MS: u64 = 500;
+const NODES_REPLY_PAUSE_MS: u64 = 500;
 
 /// A node that was not heard for this long gets no more reports until it is found in the store.
 const FORGET_MS: u64 = 10_000;
@@ -144,13 +144,13 @@
     heard_ms: u64,
     /// Known once it was heard.
     data_centre: Option<DataCentreName>,
-    /// When it was last told where other nodes are.
-    told_ms: u64,
+    /// When it was last sent the addresses of the other nodes.
+    nodes_sent_ms: u64,
 }
 
 impl Peer {
     fn found(now_ms: u64, data_centre: Option<DataCentreName>) -> Self {
-        Self { heard_ms: now_ms, data_centre, told_ms: 0 }
+        Self { heard_ms: now_ms, data_centre, nodes_sent_ms: 0 }
     }
 }
 
@@ -170,7 +170,7 @@
     options: GossipOptions,
     socket: UdpSocket,
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// The newest sums of other data centres as they came, with the time.
+    /// The newest summaries of other data centres as they came, with the time.
     summaries: Mutex<BTreeMap<DataCentreName, (u64, Vec<u8>)>>,
     news: mpsc::Sender<ListNews>,
     /// Woken when another node has a newer configuration.
@@ -217,7 +217,7 @@
     }
 
     /// Whether another node was heard since the start.
-    pub fn hears_nodes(&self) -> bool {
+    pub fn has_heard_nodes(&self) -> bool {
         self.peers().values().any(|peer| peer.data_centre.is_some())
     }
 
@@ -264,14 +264,14 @@
             let bytes = message::encode_sent(&node, &batch);
             batch.clear();
             let far = self.addresses(false);
-            let told = self.addresses(true).into_iter().chain(self.direct(&far));
-            for peer in told {
+            let peers = self.addresses(true).into_iter().chain(self.direct(&far));
+            for peer in peers {
                 let _ = self.socket.send_to(&bytes, peer).await;
             }
         }
     }
 
-    /// Sends the sums of the own data centre to the others, and passes theirs on, if this node is a
+    /// Sends the summary of the own data centre to the others, and passes theirs on, if this node is a
     /// relay; never returns.
     ///
     /// See `docs/decisions/0008-platform.md`: with 195 nodes, reports of each to each take 2.3 s
@@ -300,7 +300,7 @@
 
     fn encode(&self, report: PeerReport, nodes: Vec<SocketAddr>) -> Vec<u8> {
         let known_nodes = self.peers().len() as u32;
-        message::encode_report(&Told { report, known_nodes, nodes })
+        message::encode_report(&ReportMessage { report, known_nodes, nodes })
     }
 
     /// Returns the nodes of other data centres that get this node's own reports: all of a small
@@ -378,7 +378,9 @@
                 continue;
             };
             match message::decode(&buffer[..length]) {
-                Some(Envelope::Report(told)) => self.told(from, *told, &buffer[..length]).await,
+                Some(Envelope::Report(message)) => {
+                    self.receive_report(from, *message, &buffer[..length]).await
+                }
                 Some(Envelope::News(news)) => {
                     // A full queue leaves a gap, after which the list is read.
                     let _ = self.news.try_send(news);
@@ -398,8 +400,13 @@
     }
 
     /// Takes over a report, and tells a node that knows few others where they are.
-    async fn told(self: &Arc<Self>, from: SocketAddr, told: Told, bytes: &[u8]) {
-        let Told { report, known_nodes, nodes } = told;
+    async fn receive_report(
+        self: &Arc<Self>,
+        from: SocketAddr,
+        message: ReportMessage,
+        bytes: &[u8],
+    ) {
+        let ReportMessage { report, known_nodes, nodes } = message;
         let data_centre = report.data_centre.clone();
         match report.scope {
             Scope::Node => self.heard(from, &report),
@@ -422,7 +429,7 @@
         peer.data_centre = Some(report.data_centre.clone());
     }
 
-    /// Notes the nodes that a data centre has, and keeps its sums to pass them on.
+    /// Notes the nodes that a data centre has, and keeps its summary to pass it on.
     fn heard_summary(
         &self,
         from: SocketAddr,
@@ -441,25 +448,25 @@
             peer.data_centre = Some(data_centre.clone());
         }
         let is_near = |peer: &Peer| peer.data_centre.as_ref() == Some(&own);
-        // What another relay of this data centre passed on would go round for ever.
+        // The two relays of a data centre would otherwise pass it to each other for ever.
         if !peers.get(&from).is_some_and(is_near) {
             let mut summaries = self.summaries.lock().unwrap_or_else(PoisonError::into_inner);
             summaries.insert(data_centre.clone(), (now_ms(), bytes.to_vec()));
         }
     }
 
-    /// Returns all nodes for one that knows fewer, unless it was told just now.
+    /// Returns all nodes for one that knows fewer, unless it was sent them just now.
     fn nodes_for(&self, from: SocketAddr, known_nodes: u32) -> Option<Vec<KnownNode>> {
         let mut peers = self.peers();
         let count = peers.len() as u32;
         let peer = peers.get_mut(&from)?;
         let is_due = self.options.is_first
             && known_nodes < count
-            && now_ms() >= peer.told_ms + TELL_NODES_MS;
+            && now_ms() >= peer.nodes_sent_ms + NODES_REPLY_PAUSE_MS;
         if !is_due {
             return None;
         }
-        peer.told_ms = now_ms();
+        peer.nodes_sent_ms = now_ms();
         let known = |(address, peer): (&SocketAddr, &Peer)| KnownNode {
             address: *address,
             data_centre: peer.data_centre.clone(),
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -20,7 +20,7 @@
 /// What a datagram holds.
 #[derive(Debug, Clone)]
 pub(crate) enum Envelope {
-    Report(Box<Told>),
+    Report(Box<ReportMessage>),
     News(ListNews),
     Nodes(Vec<KnownNode>),
     Sent { node: Arc<str>, sent: Vec<SentRequest> },
@@ -28,11 +28,11 @@
 
 /// A report, with what concerns the way between nodes only.
 #[derive(Debug, Clone)]
-pub(crate) struct Told {
+pub(crate) struct ReportMessage {
     pub report: PeerReport,
-    /// How many nodes the sender knows; one that knows few is told of others.
+    /// How many nodes the sender knows; one that knows few is sent the others.
     pub known_nodes: u32,
-    /// The live nodes of the data centre, in a report that gives its sums.
+    /// The live nodes of the data centre, in a report that gives its summary.
     pub nodes: Vec<SocketAddr>,
 }
 
@@ -109,7 +109,7 @@
     has_store: bool,
     #[prost(uint32, tag = "10")]
     known_nodes: u32,
-    /// Set in a report that gives the sums of a data centre.
+    /// Set in a report that gives the summary of a data centre.
     #[prost(message, optional, tag = "11")]
     summary: Option<Summary>,
 }
@@ -165,8 +165,8 @@
 }
 
 /// Encodes a report.
-pub(crate) fn encode_report(told: &Told) -> Vec<u8> {
-    let Told { report, known_nodes, nodes } = told;
+pub(crate) fn encode_report(message: &ReportMessage) -> Vec<u8> {
+    let ReportMessage { report, known_nodes, nodes } = message;
     let summary = match report.scope {
         Scope::Node => None,
         Scope::DataCentre { nodes: node_count, age_ms } => {
@@ -234,7 +234,7 @@
     let datagram = Datagram::decode(bytes).ok()?;
     match (datagram.report, datagram.news, datagram.nodes, datagram.sent) {
         (Some(report), None, None, None) => {
-            report_from(report).map(|told| Envelope::Report(Box::new(told)))
+            report_from(report).map(|message| Envelope::Report(Box::new(message)))
         }
         (None, Some(News { from, to, records }), None, None) if from <= to => {
             Some(Envelope::News(ListNews { from, to, records }))
@@ -262,7 +262,7 @@
     Some(KnownNode { address: node.address.parse().ok()?, data_centre })
 }
 
-fn report_from(report: Report) -> Option<Told> {
+fn report_from(report: Report) -> Option<ReportMessage> {
     let load = |load: Load| {
         let vm = VmName::try_from(load.vm).ok()?;
         Some(PeerLoad { vm, in_flight: load.in_flight, unread_tokens: load.unread_tokens })
@@ -296,5 +296,5 @@
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
         lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
     };
-    Some(Told { report, known_nodes, nodes })
+    Some(ReportMessage { report, known_nodes, nodes })
 }
