Note each order of the operators once, with the age of what was known

Cause: the log could not tell a read that never came back from an order that was taken back.

Change: the reducer keeps the operators' view: the position in their topic, the data centres that are out, and when the node last knew that nothing had followed. An answer from before the position changes nothing, which also rules out that a stale read of the whole topic takes an order back. A note is written for a change only; a gauge gives the age.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -15,6 +15,7 @@
 use crate::demand::BusyGroups;
 use crate::directory::ListChange;
 use crate::lease::Last;
+use crate::operators::OperatorsNews;
 
 /// Names one attempt of a request within this node.
 pub type Ticket = u64;
@@ -26,13 +27,8 @@
     Configuration(Arc<Configuration>),
     /// The list of endpoints was read.
     List(ListChange),
-    /// The operators took a data centre out, or back.
-    Evacuation {
-        /// The data centre.
-        data_centre: DataCentreName,
-        /// Whether it is out.
-        is_out: bool,
-    },
+    /// The operators' topic was read.
+    Operators(OperatorsNews),
     /// A request needs an endpoint.
     Arrive(Arrival),
     /// The first event of an answer came, so the prompt has been read.
@@ -442,6 +438,15 @@
         /// Its version.
         version: u64,
     },
+    /// The operators took a data centre out, or back.
+    Evacuation {
+        /// The data centre.
+        data_centre: DataCentreName,
+        /// Whether it is out.
+        is_out: bool,
+        /// For how long this node had not known whether anything had changed.
+        unconfirmed_ms: Option<u64>,
+    },
     /// The list of endpoints was read again after it had been away.
     ListReturned {
         /// How long it was not read.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod formation;
 pub mod lease;
 pub mod load;
+pub mod operators;
 pub mod placement;
 pub mod planner;
 pub mod reach;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -33,6 +33,8 @@
 use crate::event::Target;
 use crate::event::Ticket;
 use crate::formation;
+use crate::operators::Evacuation;
+use crate::operators::OperatorsNews;
 use crate::planner::View;
 use crate::serving::Kind;
 use crate::serving::Server;
@@ -51,10 +53,7 @@
     match event {
         Event::Configuration(configuration) => configure(fleet, configuration, &mut effects),
         Event::List(change) => list(fleet, now_ms, change, &mut effects),
-        Event::Evacuation { data_centre, is_out } => match is_out {
-            true => _ = fleet.evacuated.insert(data_centre),
-            false => _ = fleet.evacuated.remove(&data_centre),
-        },
+        Event::Operators(news) => operators(fleet, now_ms, news, &mut effects),
         Event::Arrive(arrival) => arrive(fleet, now_ms, arrival, &mut effects),
         Event::Started(ticket) => {
             if let Some(vm) = fleet.loads.started(ticket) {
@@ -131,6 +130,14 @@
     fleet.configuration = Some(configuration);
 }
 
+fn operators(fleet: &mut Fleet, now_ms: u64, news: OperatorsNews, effects: &mut Vec<Effect>) {
+    let unconfirmed_ms = fleet.operators.age_ms(now_ms);
+    let changes = fleet.operators.apply(now_ms, news);
+    effects.extend(changes.into_iter().map(|Evacuation { data_centre, is_out }| {
+        Effect::Note(Note::Evacuation { data_centre, is_out, unconfirmed_ms })
+    }));
+}
+
 fn list(fleet: &mut Fleet, now_ms: u64, change: ListChange, effects: &mut Vec<Effect>) {
     if let ListChange::Put(endpoint) = &change {
         fleet.planner.remember_head(now_ms, endpoint);
@@ -542,8 +549,9 @@
 }
 
 fn plan(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
-    let Fleet { configuration, directory, demand, suspicions, planner, evacuated, .. } = fleet;
+    let Fleet { configuration, directory, demand, suspicions, planner, operators, .. } = fleet;
     let Some(configuration) = configuration else { return };
+    let evacuated = operators.evacuated();
     for pool in configuration.pools.values() {
         if let Some(engine) = &pool.engine {
             let pool = &pool.name;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -25,6 +25,7 @@
 use crate::event::Ticket;
 use crate::lease::Lease;
 use crate::load::LoadBook;
+use crate::operators::OperatorsView;
 use crate::planner::Planner;
 use crate::reach::Reach;
 use crate::serving::Kind;
@@ -126,8 +127,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// The list of endpoints.
     pub directory: Directory,
-    /// Data centres that the operators took out.
-    pub evacuated: BTreeSet<DataCentreName>,
+    /// What the operators took out.
+    pub operators: OperatorsView,
     /// The endpoints that take requests.
     pub serving: Serving,
     /// The load of each endpoint.
@@ -157,7 +158,7 @@
             settings,
             configuration: None,
             directory: Directory::default(),
-            evacuated: BTreeSet::new(),
+            operators: OperatorsView::default(),
             serving: Serving::default(),
             loads: LoadBook::default(),
             waiting: Waiting::default(),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -12,6 +12,7 @@
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
+use balsam_fleet::operators::OperatorsNews;
 use balsam_fleet::reduce;
 use balsam_types::PoolName;
 use rstest::rstest;
@@ -123,11 +124,14 @@
 #[test]
 fn an_evacuated_data_centre_gets_nothing() {
     let mut fleet = fleet(vec![support::head("one", 1)]);
-    let out = |is_out| Event::Evacuation { data_centre: support::data_centre("a"), is_out };
-    reduce(&mut fleet, 1_000, out(true));
+    let out = |at, is_out| {
+        let data_centre = support::data_centre("a");
+        Event::Operators(OperatorsNews::Record { at, data_centre, is_out })
+    };
+    reduce(&mut fleet, 1_000, out(7, true));
     let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(1, 1_010)));
     assert_eq!(dispatched(&effects, 1), None);
-    reduce(&mut fleet, 1_020, out(false));
+    reduce(&mut fleet, 1_020, out(8, false));
     let effects = reduce(&mut fleet, 1_030, Event::Arrive(arrival(2, 1_030)));
     assert!(dispatched(&effects, 2).is_some() || dispatched(&effects, 1).is_some());
 }
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod groups;
 mod lease;
 mod load;
+mod operators;
 mod support;
 mod waiting;
 mod world;
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -38,6 +38,9 @@
 /// How often time passes for the reducer: a silence of 250 ms must be seen soon after.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Every how many ticks the gauges are set.
+const GAUGE_TICKS: u64 = 20;
+
 /// Requests that wait until other nodes are told of them.
 const SENT_QUEUE: usize = 256;
 
@@ -153,9 +156,14 @@
     pub async fn run(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
+        for tick in 0_u64.. {
             ticks.tick().await;
             self.apply(Event::Tick);
+            if tick.is_multiple_of(GAUGE_TICKS)
+                && let Some(age_ms) = self.read(|fleet| fleet.operators.age_ms(now_ms()))
+            {
+                self.metrics.operators_age(age_ms);
+            }
         }
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 
@@ -14,6 +15,7 @@
     notes: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
+    operators_age_ms: Gauge<u64>,
 }
 
 /// Bounds in ms of the histograms: the targets of the routes lie between 150 and 500.
@@ -32,6 +34,7 @@
             notes: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
+            operators_age_ms: meter.u64_gauge("balsamturn.fleet.operators_age_ms").build(),
         }
     }
 
@@ -51,6 +54,10 @@
         self.notes.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn operators_age(&self, ms: u64) {
+        self.operators_age_ms.record(ms, &[]);
+    }
+
     pub(crate) fn first_event(&self, ms: u64) {
         self.first_event_ms.record(ms as f64, &[]);
     }
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -76,6 +76,10 @@
             info!(log, "configuration in force"; "kind" => kind, "version" => version,
                 "dropped_lines" => dropped);
         }
+        Note::Evacuation { data_centre, is_out, unconfirmed_ms } => {
+            info!(log, "evacuation changed"; "kind" => kind, "data_centre" => %data_centre,
+                "is_out" => is_out, "unconfirmed_ms" => unconfirmed_ms, "dropped_lines" => dropped);
+        }
         Note::ListReturned { away_ms } => {
             info!(log, "list of endpoints read again"; "kind" => kind, "away_ms" => away_ms,
                 "dropped_lines" => dropped);
@@ -109,6 +113,7 @@
         Note::GroupForming { .. } => "group_forming",
         Note::GroupDissolving { .. } => "group_dissolving",
         Note::Configuration { .. } => "configuration",
+        Note::Evacuation { .. } => "evacuation",
         Note::ListReturned { .. } => "list_returned",
         Note::EndpointGone { .. } => "endpoint_gone",
         Note::DataCentreCut { .. } => "data_centre_cut",
