Share the operators' orders between nodes, and bound the age of what is known

What operators saw: requests reached a data centre more than 5 s after they took it out (EVAC).

Cause: a node took the silence of its read for calm. In each data centre all nodes but two held a read of 20 s and were told of newer configurations only. A read whose connection fell silent was given up after 20.8 s. A watcher whose read failed lost its place for 3 s and then held such a read as well.

Ruled out: an order taken back by a read (the notes show none), a path that does not choose again (all attempts ask the same choice).

Change: reports carry the position in the operators' topic, the data centres that are out at that position, and the age of the sender's own last read. A node takes over what is newer than its own, and knows by reads of others that nothing followed. Before that knowledge is older than the bound allows it asks again on a new connection: watchers at 0.75 of the bound, others at 0.9, so that one silence does not make all nodes read. Ages are those of the sender's own reads: nodes that passed ages on would keep each other's young.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -16,6 +16,7 @@
 use crate::directory::ListChange;
 use crate::lease::Last;
 use crate::operators::OperatorsNews;
+use crate::operators::OperatorsReport;
 
 /// Names one attempt of a request within this node.
 pub type Ticket = u64;
@@ -242,6 +243,8 @@
     pub demand: Vec<(ModelName, BusyGroups)>,
     /// Groups that it found lost.
     pub lost: Vec<LostGroup>,
+    /// What it knows of the operators' orders.
+    pub operators: OperatorsReport,
 }
 
 /// A request that was sent to an endpoint just now.
@@ -446,6 +449,8 @@
         is_out: bool,
         /// For how long this node had not known whether anything had changed.
         unconfirmed_ms: Option<u64>,
+        /// The node that told of it; `None` for a read of this node.
+        told_by: Option<Arc<str>>,
     },
     /// The list of endpoints was read again after it had been away.
     ListReturned {
--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -1,13 +1,31 @@
 //! What the operators took out, and how old the node's knowledge of it is.
 //!
 //! Operators write changes into a topic. A node that hears of no change cannot tell a calm topic
-//! from a read whose answer never comes, so it notes when it last knew that nothing had followed.
-//! See `docs/incidents/evac-9c7c.md`.
+//! from a read whose answer never comes, so it notes when it last knew that nothing had followed,
+//! takes over what other nodes know, and asks again before its knowledge is too old. See
+//! `docs/incidents/evac-9c7c.md`.
 
 use std::collections::BTreeSet;
 
 use balsam_types::DataCentreName;
 
+/// Nodes of a data centre that watch the operators' topic for the others.
+pub const WATCHERS: usize = 2;
+
+/// Waiting time of a read at the watchers, as a part of the greatest age. With the next read on a
+/// new connection it leaves a silent one time to be found out.
+const WATCHER_WAIT_SHARE: f64 = 0.6;
+
+/// Part of the greatest age at which a watcher asks anew.
+const WATCHER_AGE_SHARE: f64 = 0.75;
+
+/// The same at other nodes: later, so that what the watchers find reaches them first and one silence
+/// does not make all nodes read.
+const OTHER_AGE_SHARE: f64 = 0.9;
+
+/// Waiting time of a read at other nodes.
+const OTHER_WAIT_MS: u64 = 20_000;
+
 /// What a read of the operators' topic found.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorsNews {
@@ -43,10 +61,57 @@
     pub is_out: bool,
 }
 
+/// What a node tells others of the operators' topic.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OperatorsReport {
+    /// The position after the last record that the node knows.
+    pub position: u64,
+    /// The data centres that are out.
+    pub evacuated: BTreeSet<DataCentreName>,
+    /// How long ago a read of the node's own showed that nothing followed.
+    ///
+    /// What it heard from others does not count: nodes that passed that on to each other would take
+    /// it for younger each time.
+    pub read_age_ms: Option<u64>,
+}
+
+/// Who reads the operators' topic how.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watch {
+    /// Whether this node watches for its data centre.
+    pub is_watcher: bool,
+    /// How long a read waits for a record.
+    pub wait_ms: u64,
+    /// How old the node's knowledge may become before it asks anew.
+    pub max_age_ms: u64,
+}
+
+impl Watch {
+    /// Returns the way of a node with this place in its data centre; see [`WATCHERS`].
+    pub fn of_place(place: usize, max_age_ms: u64) -> Self {
+        let share = |share: f64| (max_age_ms as f64 * share) as u64;
+        match place < WATCHERS {
+            true => Self {
+                is_watcher: true,
+                wait_ms: share(WATCHER_WAIT_SHARE),
+                max_age_ms: share(WATCHER_AGE_SHARE),
+            },
+            false => Self {
+                is_watcher: false,
+                wait_ms: OTHER_WAIT_MS,
+                max_age_ms: share(OTHER_AGE_SHARE),
+            },
+        }
+    }
+}
+
 /// What a node knows of the operators' topic.
 #[derive(Debug, Clone, Default)]
 pub struct OperatorsView {
     position: u64,
+    /// When a read of this node last showed that nothing followed.
+    read_ms: Option<u64>,
+    /// The same for a read of any node.
     confirmed_ms: Option<u64>,
     evacuated: BTreeSet<DataCentreName>,
 }
@@ -85,12 +150,49 @@
                 is_change.then_some(Evacuation { data_centre, is_out }).into_iter().collect()
             }
             OperatorsNews::Confirmed { end } => {
-                self.confirm(now_ms, end);
+                if end >= self.position {
+                    self.position = end;
+                    self.read_ms = Some(now_ms);
+                    self.confirmed_ms = Some(now_ms);
+                }
                 Vec::new()
             }
         }
     }
 
+    /// Takes over what another node knows; returns what it changed.
+    ///
+    /// `is_direct` says that the report came from that node itself. One that was passed on may be
+    /// older than it says.
+    pub(crate) fn hear(
+        &mut self,
+        now_ms: u64,
+        report: &OperatorsReport,
+        is_direct: bool,
+    ) -> Vec<Evacuation> {
+        let is_news = report.position > self.position;
+        let changes = match is_news {
+            true => self.replace(report.position, report.evacuated.clone()),
+            false => Vec::new(),
+        };
+        if report.position == self.position
+            && is_direct
+            && let Some(age_ms) = report.read_age_ms
+        {
+            self.confirmed_ms = self.confirmed_ms.max(Some(now_ms.saturating_sub(age_ms)));
+        }
+        changes
+    }
+
+    /// Returns what other nodes are told.
+    pub(crate) fn report(&self, now_ms: u64) -> OperatorsReport {
+        OperatorsReport {
+            position: self.position,
+            evacuated: self.evacuated.clone(),
+            read_age_ms: self.read_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+        }
+    }
+
     fn replace(&mut self, end: u64, evacuated: BTreeSet<DataCentreName>) -> Vec<Evacuation> {
         if end < self.position {
             return Vec::new();
@@ -103,11 +205,4 @@
         };
         before.symmetric_difference(&self.evacuated).map(change).collect()
     }
-
-    fn confirm(&mut self, at_ms: u64, end: u64) {
-        if end >= self.position {
-            self.position = end;
-            self.confirmed_ms = self.confirmed_ms.max(Some(at_ms));
-        }
-    }
 }
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -133,9 +133,18 @@
 fn operators(fleet: &mut Fleet, now_ms: u64, news: OperatorsNews, effects: &mut Vec<Effect>) {
     let unconfirmed_ms = fleet.operators.age_ms(now_ms);
     let changes = fleet.operators.apply(now_ms, news);
-    effects.extend(changes.into_iter().map(|Evacuation { data_centre, is_out }| {
-        Effect::Note(Note::Evacuation { data_centre, is_out, unconfirmed_ms })
-    }));
+    effects.extend(evacuation_notes(changes, unconfirmed_ms, None));
+}
+
+fn evacuation_notes(
+    changes: Vec<Evacuation>,
+    unconfirmed_ms: Option<u64>,
+    told_by: Option<&Arc<str>>,
+) -> impl Iterator<Item = Effect> {
+    changes.into_iter().map(move |Evacuation { data_centre, is_out }| {
+        let told_by = told_by.cloned();
+        Effect::Note(Note::Evacuation { data_centre, is_out, unconfirmed_ms, told_by })
+    })
 }
 
 fn list(fleet: &mut Fleet, now_ms: u64, change: ListChange, effects: &mut Vec<Effect>) {
@@ -333,6 +342,10 @@
 
 fn peer(fleet: &mut Fleet, now_ms: u64, report: PeerReport, effects: &mut Vec<Effect>) {
     fleet.lease.heard(now_ms, report.lease_end, report.lease_released);
+    let unconfirmed_ms = fleet.operators.age_ms(now_ms);
+    let is_direct = report.scope == Scope::Node;
+    let changes = fleet.operators.hear(now_ms, &report.operators, is_direct);
+    effects.extend(evacuation_notes(changes, unconfirmed_ms, Some(&report.node)));
     for lost in &report.lost {
         hear_lost(fleet, now_ms, &report.node, lost, effects);
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -26,6 +26,7 @@
 use crate::lease::Lease;
 use crate::load::LoadBook;
 use crate::operators::OperatorsView;
+use crate::operators::Watch;
 use crate::planner::Planner;
 use crate::reach::Reach;
 use crate::serving::Kind;
@@ -47,6 +48,8 @@
     pub retry_ratio: f64,
     /// Repeated attempts that a pool may get besides, summed over all nodes.
     pub retry_slack: f64,
+    /// How long the node may go without knowing whether the operators changed anything.
+    pub operators_max_age_ms: u64,
 }
 
 /// Another node, or the rest of a data centre, as its last report shows it.
@@ -267,9 +270,21 @@
             loads: loads.collect(),
             demand: self.demand.own(now_ms),
             lost: self.suspicions.lost(now_ms).collect(),
+            operators: self.operators.report(now_ms),
         }
     }
 
+    /// Returns how this node reads the operators' topic.
+    pub fn watch(&self, now_ms: u64) -> Watch {
+        Watch::of_place(self.place(now_ms), self.settings.operators_max_age_ms)
+    }
+
+    /// Returns the time until this node has to ask what the operators wrote; zero if it is due.
+    pub fn operators_due_ms(&self, now_ms: u64) -> u64 {
+        let age_ms = self.operators.age_ms(now_ms).unwrap_or(0);
+        self.watch(now_ms).max_age_ms.saturating_sub(age_ms)
+    }
+
     /// Returns what the nodes of other data centres are told of this one: the summary of its nodes.
     pub fn summary(&self, now_ms: u64) -> PeerReport {
         let near: BTreeSet<&Arc<str>> = self.near_peers(now_ms).map(|(name, _)| name).collect();
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -13,6 +13,7 @@
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
 use balsam_fleet::operators::OperatorsNews;
+use balsam_fleet::operators::OperatorsReport;
 use balsam_fleet::reduce;
 use balsam_types::PoolName;
 use rstest::rstest;
@@ -30,7 +31,7 @@
 }
 
 /// What another node with nothing to tell reports.
-fn report(node: &str) -> PeerReport {
+pub fn report(node: &str) -> PeerReport {
     PeerReport {
         node: Arc::from(node),
         data_centre: support::data_centre("a"),
@@ -42,6 +43,7 @@
         loads: Vec::new(),
         demand: Vec::new(),
         lost: Vec::new(),
+        operators: OperatorsReport::default(),
     }
 }
 
--- a/crates/fleet/tests/fleet/operators.rs
+++ b/crates/fleet/tests/fleet/operators.rs
@@ -6,9 +6,14 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::event::Note;
+use balsam_fleet::event::PeerReport;
+use balsam_fleet::event::Scope;
 use balsam_fleet::operators::OperatorsNews;
+use balsam_fleet::operators::OperatorsReport;
 use balsam_fleet::reduce;
+use rstest::rstest;
 
+use crate::load::report;
 use crate::support;
 
 fn tell(fleet: &mut Fleet, now_ms: u64, news: OperatorsNews) -> Vec<Effect> {
@@ -59,8 +64,68 @@
     let data_centre = support::data_centre("a");
     tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
     let noted = tell(&mut fleet, 3_500, record(4, true));
-    let note = Note::Evacuation { data_centre, is_out: true, unconfirmed_ms: Some(2_500) };
+    let unconfirmed_ms = Some(2_500);
+    let note = Note::Evacuation { data_centre, is_out: true, unconfirmed_ms, told_by: None };
     assert!(matches!(&noted[..], [Effect::Note(found)] if *found == note), "{noted:?}");
     let evacuated = fleet.operators.evacuated().clone();
     assert!(tell(&mut fleet, 3_600, OperatorsNews::Whole { end: 5, evacuated }).is_empty());
 }
+
+fn hear(fleet: &mut Fleet, now_ms: u64, scope: Scope, operators: OperatorsReport) -> Vec<Effect> {
+    let report = PeerReport { scope, operators, ..report("other") };
+    reduce(fleet, now_ms, Event::Peer(report))
+}
+
+/// A node whose own read never ends must hear of an order from the others; 59 of 65 nodes went on
+/// sending to a data centre for 14 s (evac-9c7c).
+#[rstest]
+#[case::of_a_node(Scope::Node)]
+#[case::of_a_data_centre(Scope::DataCentre { nodes: 4, age_ms: 0 })]
+fn an_order_that_another_node_knows_holds(#[case] scope: Scope) {
+    let mut fleet = support::fleet("node");
+    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    let evacuated = BTreeSet::from([support::data_centre("a")]);
+    let told = OperatorsReport { position: 5, evacuated, read_age_ms: Some(10) };
+    assert_eq!(hear(&mut fleet, 2_000, scope, told).len(), 1, "the order is noted");
+    assert!(is_out(&fleet));
+    // A node that knows less takes nothing back.
+    hear(&mut fleet, 2_100, scope, OperatorsReport { position: 4, ..Default::default() });
+    assert!(is_out(&fleet));
+    hear(&mut fleet, 2_200, scope, OperatorsReport { position: 6, ..Default::default() });
+    assert!(!is_out(&fleet));
+}
+
+/// Two nodes whose reads fell silent must not keep each other's knowledge young, and a report that
+/// was passed on may be older than it says.
+#[test]
+fn only_the_read_of_the_sender_keeps_knowledge_young() {
+    let told = |read_age_ms| OperatorsReport { position: 4, read_age_ms, ..Default::default() };
+    let mut fleet = support::fleet("node");
+    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    hear(&mut fleet, 3_000, Scope::DataCentre { nodes: 4, age_ms: 0 }, told(Some(0)));
+    hear(&mut fleet, 3_000, Scope::Node, told(None));
+    assert_eq!(fleet.operators.age_ms(3_000), Some(2_000));
+    hear(&mut fleet, 3_000, Scope::Node, told(Some(500)));
+    assert_eq!(fleet.operators.age_ms(3_000), Some(500));
+    assert_eq!(fleet.report(3_000).operators.read_age_ms, Some(2_000), "its own read is older");
+}
+
+/// A node asks again before an evacuation could be overdue, the watchers first; a watcher that the
+/// store failed keeps its bound although another node watches now.
+#[test]
+fn a_node_asks_before_its_knowledge_is_too_old() {
+    let mut fleet = support::fleet("node");
+    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    let alone = fleet.watch(1_000);
+    assert!(alone.is_watcher && alone.wait_ms < alone.max_age_ms);
+    assert_eq!(fleet.operators_due_ms(1_000 + alone.max_age_ms), 0);
+    // The store fails this node, and two others that it hears watch from now on.
+    let due_ms = 1_000 + alone.max_age_ms;
+    for name in ["other", "third"] {
+        reduce(&mut fleet, due_ms, Event::Peer(report(name)));
+    }
+    reduce(&mut fleet, due_ms, Event::StoreLost);
+    assert!(!fleet.watch(due_ms).is_watcher);
+    assert!(fleet.operators_due_ms(due_ms) > 0);
+    assert_eq!(fleet.operators_due_ms(1_000 + support::OPERATORS_MAX_AGE_MS), 0);
+}
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -27,6 +27,9 @@
 pub const LARGE: &str = "large";
 pub const SMALL: &str = "small";
 
+/// The greatest age of what a node knows of the operators' orders.
+pub const OPERATORS_MAX_AGE_MS: u64 = 4_000;
+
 pub fn vm(name: &str) -> VmName {
     VmName::try_from(name).unwrap()
 }
@@ -97,6 +100,7 @@
         data_centre: data_centre("a"),
         retry_ratio: 0.2,
         retry_slack: 100.0,
+        operators_max_age_ms: OPERATORS_MAX_AGE_MS,
     })
 }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -9,6 +9,7 @@
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
+use balsam_fleet::operators::OperatorsReport;
 use balsam_types::DataCentreName;
 use balsam_types::GroupName;
 use balsam_types::ModelName;
@@ -112,6 +113,18 @@
     /// Set in a report that gives the summary of a data centre.
     #[prost(message, optional, tag = "11")]
     summary: Option<Summary>,
+    #[prost(message, optional, tag = "12")]
+    operators: Option<Operators>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Operators {
+    #[prost(uint64, tag = "1")]
+    position: u64,
+    #[prost(string, repeated, tag = "2")]
+    evacuated: Vec<String>,
+    #[prost(uint64, optional, tag = "3")]
+    read_age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -201,10 +214,19 @@
         has_store: report.has_store,
         known_nodes: *known_nodes,
         summary,
+        operators: Some(encode_operators(&report.operators)),
     };
     Datagram { report: Some(report), ..Datagram::default() }.encode_to_vec()
 }
 
+fn encode_operators(report: &OperatorsReport) -> Operators {
+    Operators {
+        position: report.position,
+        evacuated: report.evacuated.iter().map(ToString::to_string).collect(),
+        read_age_ms: report.read_age_ms,
+    }
+}
+
 /// Encodes where nodes are.
 pub(crate) fn encode_nodes(nodes: &[KnownNode]) -> Vec<u8> {
     let node = |known: &KnownNode| Node {
@@ -295,6 +317,13 @@
         loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
         lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
+        operators: operators_from(report.operators.unwrap_or_default())?,
     };
     Some(ReportMessage { report, known_nodes, nodes })
 }
+
+fn operators_from(operators: Operators) -> Option<OperatorsReport> {
+    let Operators { position, evacuated, read_age_ms } = operators;
+    let evacuated = evacuated.into_iter().map(|name| DataCentreName::try_from(name).ok());
+    Some(OperatorsReport { position, evacuated: evacuated.collect::<Option<_>>()?, read_age_ms })
+}
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -76,9 +76,10 @@
             info!(log, "configuration in force"; "kind" => kind, "version" => version,
                 "dropped_lines" => dropped);
         }
-        Note::Evacuation { data_centre, is_out, unconfirmed_ms } => {
+        Note::Evacuation { data_centre, is_out, unconfirmed_ms, told_by } => {
             info!(log, "evacuation changed"; "kind" => kind, "data_centre" => %data_centre,
-                "is_out" => is_out, "unconfirmed_ms" => unconfirmed_ms, "dropped_lines" => dropped);
+                "is_out" => is_out, "unconfirmed_ms" => unconfirmed_ms,
+                "told_by" => told_by.as_deref(), "dropped_lines" => dropped);
         }
         Note::ListReturned { away_ms } => {
             info!(log, "list of endpoints read again"; "kind" => kind, "away_ms" => away_ms,
