Leave endpoints alone that say they leave or want nothing for a while

Cause: an endpoint that leaves says so in its answers before the list does, and one that turns a request away may say for how long it wants nothing. Neither was read, so the node went on sending.

Change: both are read where the head of an answer is, and become events of the decision core. A leaving endpoint counts as draining for this start, whatever its heartbeats say until it starts anew. One that pauses is not chosen for first attempts, repeats, resumed streams or waiting requests, and is not probed: it answered when it asked for the pause.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -105,7 +105,8 @@
     let group = server.group.as_ref();
     let is_suspect = group.is_some_and(|group| fleet.suspicions.is_suspect(&server.vm, group));
     let is_evacuated = fleet.operators.evacuated().contains(&server.data_centre);
-    !is_suspect && !is_evacuated && !fleet.reach.is_cut(now_ms, &server.data_centre)
+    let is_paused = fleet.pauses.left_ms(now_ms, &server.vm).is_some();
+    !is_suspect && !is_evacuated && !is_paused && !fleet.reach.is_cut(now_ms, &server.data_centre)
 }
 
 fn has_place(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -58,6 +58,8 @@
     lapsed: BTreeMap<VmName, u64>,
     /// The start and the highest heartbeat of each endpoint, and when it was seen.
     heartbeats: BTreeMap<VmName, (u64, u64, u64)>,
+    /// The starts of endpoints that said in an answer that they leave, which the list may not show.
+    leaving: BTreeMap<VmName, u64>,
     last_read_ms: Option<u64>,
     returned_ms: Option<u64>,
 }
@@ -69,6 +71,7 @@
         match change {
             ListChange::Put(endpoint) if self.is_stale(now_ms, &endpoint) => Applied::default(),
             ListChange::Put(endpoint) => {
+                let endpoint = Box::new(self.as_leaving(*endpoint));
                 self.lapsed.remove(&endpoint.vm);
                 let is_same =
                     self.endpoints.get(&endpoint.vm).is_some_and(|e| is_same(e, &endpoint));
@@ -88,6 +91,20 @@
         }
     }
 
+    /// Notes that an endpoint said itself that it leaves; returns it if that is news.
+    pub fn leaves(&mut self, vm: &VmName) -> Option<&Endpoint> {
+        let endpoint = self.endpoints.get_mut(vm).filter(|endpoint| !endpoint.is_draining)?;
+        endpoint.is_draining = true;
+        self.leaving.insert(vm.clone(), endpoint.started_unix_ms);
+        Some(endpoint)
+    }
+
+    /// Returns an entry as draining if that start of the endpoint said that it leaves.
+    fn as_leaving(&self, listed: Endpoint) -> Endpoint {
+        let leaves = self.leaving.get(&listed.vm) == Some(&listed.started_unix_ms);
+        Endpoint { is_draining: listed.is_draining || leaves, ..listed }
+    }
+
     /// Gives up entries whose grace has ended, and returns them.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Endpoint> {
         let due: Vec<VmName> = self
@@ -106,7 +123,8 @@
 
     /// Whether an entry says what is known already.
     pub fn knows(&self, listed: &Endpoint) -> bool {
-        self.endpoints.get(&listed.vm).is_some_and(|known| is_same(known, listed))
+        let known = self.endpoints.get(&listed.vm);
+        known.is_some_and(|known| is_same(known, &self.as_leaving(listed.clone())))
     }
 
     /// Returns an endpoint by name.
@@ -149,6 +167,8 @@
         self.heartbeats.retain(|vm, (.., seen_ms)| {
             endpoints.contains_key(vm) || now_ms < *seen_ms + HEARTBEAT_MEMORY_MS
         });
+        let heartbeats = &self.heartbeats;
+        self.leaving.retain(|vm, _| heartbeats.contains_key(vm));
     }
 
     fn note_read(&mut self, now_ms: u64) {
@@ -176,7 +196,7 @@
             .into_iter()
             .map(|endpoint| match self.is_stale(now_ms, &endpoint) {
                 true => self.endpoints.get(&endpoint.vm).cloned().unwrap_or(endpoint),
-                false => endpoint,
+                false => self.as_leaving(endpoint),
             })
             .map(|endpoint| (endpoint.vm.clone(), endpoint))
             .collect();
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -50,6 +50,15 @@
         /// The requests.
         sent: Vec<SentRequest>,
     },
+    /// An endpoint said in an answer that it leaves.
+    Leaves(VmName),
+    /// An endpoint turned a request away and wants nothing more from this node for a while.
+    Pauses {
+        /// The endpoint.
+        vm: VmName,
+        /// How long.
+        pause_ms: u64,
+    },
     /// A probe of an endpoint ended.
     Probed {
         /// The endpoint.
@@ -464,6 +473,18 @@
         /// Why.
         reason: &'static str,
     },
+    /// An endpoint said in an answer that it leaves, before the list did.
+    EndpointLeaves {
+        /// The endpoint.
+        vm: VmName,
+    },
+    /// An endpoint wants nothing from this node for a while.
+    EndpointPauses {
+        /// The endpoint.
+        vm: VmName,
+        /// How long.
+        pause_ms: u64,
+    },
     /// Endpoints of another data centre cannot be reached, so it is not used for a while.
     DataCentreCut {
         /// The data centre.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod load;
 pub mod operators;
+pub mod pauses;
 pub mod placement;
 pub mod planner;
 pub mod reach;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -71,17 +71,12 @@
                 sent.iter().for_each(|sent| fleet.loads.peer_sent(now_ms, &node, sent));
             }
         }
-        Event::Probed { vm, is_alive } => {
-            match fleet.directory.get(&vm) {
-                Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
-                None => fleet.planner.departed_probed(now_ms, &vm, is_alive),
-            }
-            if is_alive {
-                fleet.suspicions.answers(&vm);
-            } else {
-                lose_groups_of(fleet, now_ms, &vm, &mut effects);
-            }
+        Event::Leaves(vm) => leaves(fleet, vm, &mut effects),
+        Event::Pauses { vm, pause_ms } => {
+            fleet.pauses.ask(now_ms, &vm, pause_ms);
+            effects.push(Effect::Note(Note::EndpointPauses { vm, pause_ms }));
         }
+        Event::Probed { vm, is_alive } => probed(fleet, now_ms, &vm, is_alive, &mut effects),
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(news) => lease(fleet, now_ms, news, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
@@ -92,9 +87,49 @@
         }
         Event::Tick => tick(fleet, now_ms, &mut effects),
     }
+    spare_paused(fleet, now_ms, &mut effects);
     effects
 }
 
+/// Takes back the probes of endpoints that want nothing from this node for a while.
+///
+/// Such an endpoint answered when it said so. A member that dies meanwhile is found by its entry,
+/// which lapses.
+fn spare_paused(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    let is_spared = |effect: &mut Effect| match effect {
+        Effect::Probe { vm, .. } => fleet.pauses.left_ms(now_ms, vm).is_some(),
+        _ => false,
+    };
+    let spared: Vec<Effect> = effects.extract_if(.., is_spared).collect();
+    for effect in spared {
+        if let Effect::Probe { vm, .. } = effect {
+            probed(fleet, now_ms, &vm, true, effects);
+        }
+    }
+}
+
+fn probed(fleet: &mut Fleet, now_ms: u64, vm: &VmName, is_alive: bool, effects: &mut Vec<Effect>) {
+    match fleet.directory.get(vm) {
+        Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
+        None => fleet.planner.departed_probed(now_ms, vm, is_alive),
+    }
+    if is_alive {
+        fleet.suspicions.answers(vm);
+    } else {
+        lose_groups_of(fleet, now_ms, vm, effects);
+    }
+}
+
+/// Uses an endpoint no more that leaves; the list may show it much later, or never.
+fn leaves(fleet: &mut Fleet, vm: VmName, effects: &mut Vec<Effect>) {
+    if let Some(endpoint) = fleet.directory.leaves(&vm)
+        && let Some(configuration) = &fleet.configuration
+    {
+        fleet.serving.put(endpoint, configuration);
+        effects.push(Effect::Note(Note::EndpointLeaves { vm }));
+    }
+}
+
 fn heard(fleet: &mut Fleet, now_ms: u64, vm: &VmName) {
     if let Some(endpoint) = fleet.directory.get(vm) {
         fleet.planner.heard(now_ms, &endpoint.data_centre);
@@ -474,6 +509,7 @@
     forget(fleet, now_ms, gone, "not listed again", effects);
     follow_lease(fleet, now_ms, effects);
     fill_cold(fleet, now_ms);
+    fleet.pauses.expire(now_ms);
     watch_heads(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
         serve_waiting(fleet, now_ms, &kind, effects);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -27,6 +27,7 @@
 use crate::load::LoadBook;
 use crate::operators::OperatorsView;
 use crate::operators::Watch;
+use crate::pauses::Pauses;
 use crate::planner::Planner;
 use crate::reach::Reach;
 use crate::serving::Kind;
@@ -134,6 +135,8 @@
     pub operators: OperatorsView,
     /// The endpoints that take requests.
     pub serving: Serving,
+    /// Endpoints that want nothing for a while.
+    pub pauses: Pauses,
     /// The load of each endpoint.
     pub loads: LoadBook,
     /// Requests that wait.
@@ -163,6 +166,7 @@
             directory: Directory::default(),
             operators: OperatorsView::default(),
             serving: Serving::default(),
+            pauses: Pauses::default(),
             loads: LoadBook::default(),
             waiting: Waiting::default(),
             demand: Demand::default(),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,4 +7,5 @@
 mod operators;
 mod support;
 mod waiting;
+mod wishes;
 mod world;
--- /dev/null
+++ b/crates/fleet/tests/fleet/wishes.rs
@@ -0,0 +1,113 @@
+//! What endpoints say of themselves in their answers.
+
+use balsam_fleet::Arrival;
+use balsam_fleet::Effect;
+use balsam_fleet::Endpoint;
+use balsam_fleet::Event;
+use balsam_fleet::Fleet;
+use balsam_fleet::directory::ListChange;
+use balsam_fleet::event::AttemptEnd;
+use balsam_fleet::event::LostGroup;
+use balsam_fleet::event::PeerReport;
+use balsam_fleet::reduce;
+use rstest::rstest;
+
+use crate::load::report;
+use crate::support;
+use crate::support::arrival;
+use crate::support::dispatched;
+use crate::support::vm;
+
+const PAUSE_MS: u64 = 3_000;
+
+fn fleet(endpoints: Vec<Endpoint>) -> Fleet {
+    let mut fleet = support::fleet("node");
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(endpoints)));
+    fleet
+}
+
+fn leaves() -> Event {
+    Event::Leaves(vm("one"))
+}
+
+fn pauses() -> Event {
+    Event::Pauses { vm: vm("one"), pause_ms: PAUSE_MS }
+}
+
+/// Every way to an endpoint asks whether it wants requests: rules DRAIN and BUDGET count each of them.
+#[rstest]
+#[case::leaves(leaves())]
+#[case::pauses(pauses())]
+fn an_endpoint_that_wants_nothing_gets_nothing_on_any_path(#[case] wish: Event) {
+    let mut fleet = fleet(vec![support::head("one", 1)]);
+    // A full group with one request that waits.
+    for ticket in 1..=17 {
+        reduce(&mut fleet, 1_000, Event::Arrive(arrival(ticket, 1_000)));
+        reduce(&mut fleet, 1_000, Event::Started(ticket));
+    }
+    reduce(&mut fleet, 1_010, Event::Arrive(arrival(18, 1_010)));
+    reduce(&mut fleet, 1_020, wish);
+    let mut effects = Vec::new();
+    for ticket in 1..=16 {
+        let end = AttemptEnd::Answered;
+        effects.extend(reduce(&mut fleet, 1_050, Event::Ended { ticket, end }));
+    }
+    assert_eq!(dispatched(&effects, 18), None, "a request that waited");
+    let first = reduce(&mut fleet, 1_060, Event::Arrive(arrival(19, 1_060)));
+    assert_eq!(dispatched(&first, 19), None, "a first attempt");
+    let repeat = Arrival { is_repeat: true, ..arrival(20, 1_070) };
+    let repeat = reduce(&mut fleet, 1_070, Event::Arrive(repeat));
+    assert_eq!(dispatched(&repeat, 20), None, "a repeat");
+}
+
+/// Heartbeats still say `ready` for a while after an endpoint has said that it leaves; only another
+/// start of it is used again.
+#[test]
+fn an_entry_that_says_less_does_not_bring_a_leaving_endpoint_back() {
+    let mut fleet = fleet(vec![support::head("one", 1)]);
+    reduce(&mut fleet, 1_000, leaves());
+    let later = |sequence| Endpoint { sequence, ..support::head("one", 1) };
+    reduce(&mut fleet, 1_100, Event::List(ListChange::Put(Box::new(later(5)))));
+    reduce(&mut fleet, 1_200, Event::List(ListChange::Whole(vec![later(6)])));
+    let effects = reduce(&mut fleet, 1_300, Event::Arrive(arrival(1, 1_300)));
+    assert_eq!(dispatched(&effects, 1), None);
+    let restarted = Endpoint { started_unix_ms: 9, ..support::head("one", 1) };
+    reduce(&mut fleet, 1_400, Event::List(ListChange::Put(Box::new(restarted))));
+    let effects = reduce(&mut fleet, 1_410, Event::Arrive(arrival(2, 1_410)));
+    assert_eq!(dispatched(&effects, 2), Some(vm("one")));
+}
+
+/// An endpoint is used again when its pause is over, and a shorter wish does not end a longer one.
+#[test]
+fn a_pause_ends_by_itself() {
+    let mut fleet = fleet(vec![support::head("one", 1)]);
+    reduce(&mut fleet, 1_000, pauses());
+    reduce(&mut fleet, 1_100, Event::Pauses { vm: vm("one"), pause_ms: 200 });
+    let end_ms = 1_000 + PAUSE_MS;
+    reduce(&mut fleet, end_ms - 1, Event::Tick);
+    let effects = reduce(&mut fleet, end_ms - 1, Event::Arrive(arrival(1, end_ms - 1)));
+    assert_eq!(dispatched(&effects, 1), None);
+    reduce(&mut fleet, end_ms, Event::Tick);
+    let effects = reduce(&mut fleet, end_ms, Event::Arrive(arrival(2, end_ms)));
+    assert_eq!(dispatched(&effects, 2), Some(vm("one")));
+}
+
+/// Probes reach an endpoint as requests do. One that turned a request away a moment ago lives, and is
+/// not asked while it wants nothing.
+#[test]
+fn an_endpoint_that_pauses_is_not_probed() {
+    let head = support::head("one", 1);
+    let membership = head.membership.clone().unwrap();
+    let lost = LostGroup { group: membership.group, epoch: membership.epoch, member: vm("one") };
+    let probes = |fleet: &mut Fleet| {
+        let lost = vec![lost.clone()];
+        let report = PeerReport { lost, ..report("other") };
+        let effects = reduce(fleet, 1_100, Event::Peer(report));
+        effects.iter().filter(|effect| matches!(effect, Effect::Probe { .. })).count()
+    };
+    assert_eq!(probes(&mut fleet(vec![head.clone()])), 1, "a witness asks a member");
+    let mut fleet = fleet(vec![head]);
+    reduce(&mut fleet, 1_000, pauses());
+    assert_eq!(probes(&mut fleet), 0);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use balsam_fleet::Event;
 use balsam_fleet::event::AttemptEnd;
 use balsam_http::Conn;
 use balsam_http::SendError;
+use balsam_types::VmName;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
@@ -149,10 +151,34 @@
         SendError::Written(cause) => AttemptFailure::Broken(cause),
         SendError::Silent => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
+    note_wishes(shared, &placed.target.vm, &response);
     check(shared, request, &response)?;
     Ok((conn, response))
 }
 
+/// Tells the decisions what the head of an answer says of the endpoint itself.
+fn note_wishes(shared: &Shared, vm: &VmName, response: &Response<Incoming>) {
+    let headers = response.headers();
+    // A misdirected request was answered by another endpoint than the one that was meant.
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if headers.get(&shared.dialect.leaving).is_some_and(|value| value == "1") {
+        shared.hub.apply(Event::Leaves(vm.clone()));
+    }
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(pause_ms) = retry_after_ms(headers)
+    {
+        shared.hub.apply(Event::Pauses { vm: vm.clone(), pause_ms });
+    }
+}
+
+/// Reads the time in seconds, with fractions, for which an endpoint wants nothing.
+fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+    let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (seconds.is_finite() && seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 /// Refuses an answer that is not the endpoint's own answer to this request.
 fn check(
     shared: &Shared,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -17,6 +17,8 @@
     pub expected_endpoint: HeaderName,
     /// Says that an endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Says with the value `1` that the endpoint which answers is about to leave.
+    pub leaving: HeaderName,
     /// Marks an endpoint's own answer.
     pub seal: HeaderName,
     /// The last event that the caller has.
--- a/crates/relay/src/notes.rs
+++ b/crates/relay/src/notes.rs
@@ -89,6 +89,14 @@
             info!(log, "endpoint is gone"; "kind" => kind, "vm" => %vm, "reason" => reason,
                 "dropped_lines" => dropped);
         }
+        Note::EndpointLeaves { vm } => {
+            info!(log, "endpoint says that it leaves"; "kind" => kind, "vm" => %vm,
+                "dropped_lines" => dropped);
+        }
+        Note::EndpointPauses { vm, pause_ms } => {
+            info!(log, "endpoint wants nothing for a while"; "kind" => kind, "vm" => %vm,
+                "pause_ms" => pause_ms, "dropped_lines" => dropped);
+        }
         Note::DataCentreCut { data_centre } => {
             info!(log, "data centre cannot be reached"; "kind" => kind,
                 "data_centre" => %data_centre, "dropped_lines" => dropped);
@@ -117,6 +125,8 @@
         Note::Evacuation { .. } => "evacuation",
         Note::ListReturned { .. } => "list_returned",
         Note::EndpointGone { .. } => "endpoint_gone",
+        Note::EndpointLeaves { .. } => "endpoint_leaves",
+        Note::EndpointPauses { .. } => "endpoint_pauses",
         Note::DataCentreCut { .. } => "data_centre_cut",
         Note::Use { .. } => "use",
         Note::Leading { .. } => "leading",
