End answers without end at a bound, and count their endpoint as faulty

Cause: an endpoint in trouble may send bytes that are no answer until the caller closes. A head was bounded at hyper's 400 KB, a body at 16 MB for each request with no bound for all together (the smallest VMs have 160 MB), comments between two events not at all. Such an endpoint was not avoided.

Change: 64 KB for a head, 4 MB for a body, 48 MB for all bodies that are being collected, 256 KB for an event and for what comes between two. What exceeds them, cannot be parsed or is not the endpoint's own answer counts as a failure of the endpoint, which is avoided for half a second. A request that may be repeated goes on elsewhere, another one is answered 502.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -211,6 +211,8 @@
     Unreachable,
     /// The connection broke or fell silent.
     Broken,
+    /// The endpoint sent bytes that are no answer to the request.
+    Faulty,
     /// The caller left, or the request was given up.
     Cancelled,
 }
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -20,7 +20,8 @@
 const PEER_READ_MS: u64 = 300;
 
 /// First pause of an endpoint that could not be reached, which doubles with each further failure,
-/// and the pause of one that turned a request away: it stays idle and would attract all others.
+/// and the pause of one that turned a request away or sent bytes that are no answer: it stays idle
+/// and would attract all others.
 const AVOID_MS: u64 = 500;
 
 /// Pause of an endpoint that is not what the list shows; the list follows within this time.
@@ -192,7 +193,7 @@
         load.unread_tokens = load.unread_tokens.saturating_sub(running.unread_tokens);
         let failed = match end {
             AttemptEnd::Answered => Some(0.0),
-            AttemptEnd::Failed => Some(1.0),
+            AttemptEnd::Failed | AttemptEnd::Faulty => Some(1.0),
             _ => None,
         };
         if let Some(failed) = failed {
@@ -201,7 +202,7 @@
             load.failure_share += FAILURE_WEIGHT * (failed - load.failure_share);
         }
         let turned_away_ms = match end {
-            AttemptEnd::TurnedAway => AVOID_MS,
+            AttemptEnd::TurnedAway | AttemptEnd::Faulty => AVOID_MS,
             AttemptEnd::Misdirected => MISDIRECTED_MS,
             _ => 0,
         };
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -367,6 +367,7 @@
         }
         AttemptEnd::Answered
         | AttemptEnd::Failed
+        | AttemptEnd::Faulty
         | AttemptEnd::TurnedAway
         | AttemptEnd::Misdirected => {
             fleet.reach.answered(data_centre);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -30,6 +30,9 @@
 /// How long a pooled connection may take to become ready; a used-up one is ready at once.
 const POOLED_READY: Duration = Duration::from_millis(20);
 
+/// Most bytes of the head of an answer: an endpoint in trouble may send bytes without end.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// The limits of a [`Client`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientOptions {
@@ -52,6 +55,8 @@
     Forbidden,
     /// Bytes may have been written.
     Written(String),
+    /// Bytes were written, and what came back is no answer.
+    Malformed(String),
     /// Bytes may have been written, and then nothing came for too long.
     Silent,
 }
@@ -157,10 +162,12 @@
                 Err(_) => return Err(SendError::Silent),
                 Ok(Err(mut error)) => {
                     let written = error.take_message().is_none();
-                    let cause = format!("endpoint {address}: {}", chain(&error.into_error()));
+                    let error = error.into_error();
                     match (written, pooled) {
-                        (true, _) => return Err(SendError::Written(cause)),
-                        (false, false) => return Err(SendError::NotWritten(cause)),
+                        (true, _) => return Err(written_error(address, &error)),
+                        (false, false) => {
+                            return Err(SendError::NotWritten(describe(address, &error)));
+                        }
                         (false, true) => {}
                     }
                 }
@@ -177,7 +184,9 @@
                 _ => SendError::NotWritten(not_written(&e)),
             })?;
             stream.set_nodelay(true).map_err(|e| SendError::NotWritten(not_written(&e)))?;
-            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_HEAD_BYTES);
+            let handshake = builder.handshake(TokioIo::new(stream)).await;
             handshake.map_err(|e| SendError::NotWritten(not_written(&chain(&e))))
         };
         let opened = timeout(self.connect_timeout, open).await;
@@ -198,7 +207,7 @@
         let sent = conn.sender.send_request(request);
         match timeout(silence, conn.driver.drive(sent)).await {
             Ok(Ok(response)) => Ok((conn, response)),
-            Ok(Err(e)) => Err(SendError::Written(format!("endpoint {address}: {}", chain(&e)))),
+            Ok(Err(error)) => Err(written_error(address, &error)),
             Err(_) => Err(SendError::Silent),
         }
     }
@@ -257,6 +266,19 @@
     }
 }
 
+/// Tells bytes that are no answer from a connection that broke.
+fn written_error(address: SocketAddr, error: &hyper::Error) -> SendError {
+    let cause = describe(address, error);
+    if error.is_parse() || error.is_parse_too_large() {
+        return SendError::Malformed(cause);
+    }
+    SendError::Written(cause)
+}
+
+fn describe(address: SocketAddr, error: &hyper::Error) -> String {
+    format!("endpoint {address}: {}", chain(error))
+}
+
 /// Joins an error with its causes; hyper's own text names only the outermost one.
 pub fn chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -31,6 +31,8 @@
     TurnedAway(StatusCode),
     /// It may have run.
     Broken(String),
+    /// It may have run, and what came back is no answer to it.
+    Faulty(String),
     /// The endpoint's group was lost while it worked on the request.
     Abandoned,
 }
@@ -43,6 +45,7 @@
             Self::TurnedAway(StatusCode::MISDIRECTED_REQUEST) => AttemptEnd::Misdirected,
             Self::TurnedAway(_) => AttemptEnd::TurnedAway,
             Self::Broken(_) | Self::Abandoned => AttemptEnd::Broken,
+            Self::Faulty(_) => AttemptEnd::Faulty,
         }
     }
 
@@ -52,6 +55,7 @@
             Self::NotSent(_) => "not_sent",
             Self::TurnedAway(_) => "turned_away",
             Self::Broken(_) => "broken",
+            Self::Faulty(_) => "faulty",
             Self::Abandoned => "group_lost",
         }
     }
@@ -80,7 +84,9 @@
             AttemptFailure::NotSent(_) => self.not_sent += 1,
             AttemptFailure::TurnedAway(_) => self.turned_away += 1,
             // The endpoint may have begun to run the request, also if its group was lost later.
-            AttemptFailure::Broken(_) | AttemptFailure::Abandoned => self.count_run(),
+            AttemptFailure::Broken(_) | AttemptFailure::Faulty(_) | AttemptFailure::Abandoned => {
+                self.count_run();
+            }
         }
     }
 
@@ -149,6 +155,7 @@
         SendError::NotWritten(cause) | SendError::Refused(cause) => AttemptFailure::NotSent(cause),
         SendError::Forbidden => AttemptFailure::NotSent("sending was forbidden".to_owned()),
         SendError::Written(cause) => AttemptFailure::Broken(cause),
+        SendError::Malformed(cause) => AttemptFailure::Faulty(cause),
         SendError::Silent => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
     note_wishes(shared, &placed.target.vm, &response);
@@ -179,6 +186,12 @@
     (seconds.is_finite() && seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
 }
 
+/// Tells a body that is no part of an answer from one that broke off.
+pub(crate) fn broke_off(error: &hyper::Error) -> AttemptFailure {
+    let cause = format!("the answer broke off: {error}");
+    if error.is_parse() { AttemptFailure::Faulty(cause) } else { AttemptFailure::Broken(cause) }
+}
+
 /// Refuses an answer that is not the endpoint's own answer to this request.
 fn check(
     shared: &Shared,
@@ -191,7 +204,7 @@
     // A late second answer to an earlier request names that request.
     let is_own = headers.get(&dialect.request_id).is_none_or(|id| *id == request.id);
     if !is_own {
-        return Err(AttemptFailure::Broken("the answer belongs to another request".to_owned()));
+        return Err(AttemptFailure::Faulty("the answer belongs to another request".to_owned()));
     }
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run) {
         return Err(AttemptFailure::TurnedAway(status));
@@ -200,7 +213,7 @@
         headers.contains_key(&dialect.seal) && headers.contains_key(&dialect.request_id);
     let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
     if (status.is_success() && !is_sealed) || is_encoded {
-        return Err(AttemptFailure::Broken("the answer is not the endpoint's own".to_owned()));
+        return Err(AttemptFailure::Faulty("the answer is not the endpoint's own".to_owned()));
     }
     Ok(())
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
     closing: watch::Sender<bool>,
     open: AtomicU64,
     connections: AtomicU64,
+    /// Bytes of the answers that are being collected before they are passed on.
+    pub collected_bytes: AtomicUsize,
     ready: AtomicBool,
 }
 
@@ -109,6 +112,7 @@
             closing: watch::Sender::new(false),
             open: AtomicU64::new(0),
             connections: AtomicU64::new(0),
+            collected_bytes: AtomicUsize::new(0),
             ready: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,5 +1,6 @@
 //! Requests whose answer is one body.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsam_fleet::event::AttemptEnd;
@@ -26,7 +27,10 @@
 use crate::request::Request;
 
 /// Most bytes of an answer that is collected before it is passed on.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Most bytes of all answers that are being collected; the smallest VMs have 160 MB.
+const MAX_COLLECTED_BYTES: usize = 48 * 1024 * 1024;
 
 /// Answers a request with one body.
 pub(crate) async fn serve(shared: &Shared, request: &Request) -> Result<Response<Body>, Failure> {
@@ -124,18 +128,40 @@
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let (mut head, mut body) = response.into_parts();
     let mut whole = BytesMut::new();
+    let mut collected = Collected { shared, bytes: 0 };
     while let Some(frame) = conn.driver.drive(body.frame()).await {
-        let frame = frame
-            .map_err(|error| AttemptFailure::Broken(format!("the answer broke off: {error}")))?;
+        let frame = frame.map_err(|error| attempt::broke_off(&error))?;
         let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > MAX_ANSWER_BYTES {
-            return Err(AttemptFailure::Broken("the answer exceeds the limit".to_owned()));
+        let all_bytes = collected.add(data.len());
+        if collected.bytes > MAX_ANSWER_BYTES || all_bytes > MAX_COLLECTED_BYTES {
+            return Err(AttemptFailure::Faulty("the answer exceeds the limit".to_owned()));
         }
         whole.extend_from_slice(&data);
     }
+    drop(collected);
     let keep = attempt::keep_for(&head.headers, shared.options.endpoint_idle());
     shared.client.checkin_for(conn, keep);
     remove_hop_by_hop(&mut head.headers);
     let body: Bytes = whole.freeze();
     Ok(EndpointAnswer { status: head.status, headers: head.headers, body })
 }
+
+/// The bytes of an answer that is being collected, counted with those of all others.
+struct Collected<'a> {
+    shared: &'a Shared,
+    bytes: usize,
+}
+
+impl Collected<'_> {
+    /// Counts more bytes; returns those of all answers.
+    fn add(&mut self, bytes: usize) -> usize {
+        self.bytes += bytes;
+        self.shared.collected_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+}
+
+impl Drop for Collected<'_> {
+    fn drop(&mut self) {
+        self.shared.collected_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -47,8 +47,8 @@
 /// its answers; this is for a connection that fell silent by itself.
 const EVENT_SILENCE: Duration = Duration::from_millis(1_200);
 
-/// Most bytes of one event.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Most bytes of one event, and of what comes between two events.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Why a stream ends without its last event.
 enum Stop {
@@ -73,6 +73,8 @@
     placed: Placed,
     keep: Duration,
     splitter: Splitter,
+    /// Bytes since the last event with data.
+    filler_bytes: usize,
 }
 
 /// Reads the events of one answer from as many endpoints as it takes.
@@ -251,7 +253,7 @@
             let keep = attempt::keep_for(&head.headers, self.shared.options.endpoint_idle());
             remove_hop_by_hop(&mut head.headers);
             let splitter = Splitter::default();
-            let source = Source { conn, body, placed, keep, splitter };
+            let source = Source { conn, body, placed, keep, splitter, filler_bytes: 0 };
             if head.status != StatusCode::OK {
                 match self.other_answer(head.status, head.headers, source).await? {
                     Some(stop) => return Err(stop),
@@ -285,7 +287,7 @@
                 }
                 Read::Data(_) => {
                     self.source = Some(source);
-                    self.failed(&AttemptFailure::Broken("the answer is too long".to_owned()))?;
+                    self.failed(&AttemptFailure::Faulty("the answer is too long".to_owned()))?;
                     return Ok(None);
                 }
             }
@@ -322,7 +324,7 @@
                 Read::Data(data) => {
                     source.splitter.push(data);
                     if source.splitter.pending_bytes() > MAX_EVENT_BYTES {
-                        return Err(ReadFailure::broken("an event exceeds the limit"));
+                        return Err(ReadFailure::faulty("an event exceeds the limit"));
                     }
                 }
                 Read::End if source.splitter.pending_bytes() > 0 => {
@@ -344,7 +346,15 @@
         let mut events: Option<Bytes> = None;
         let mut joined = BytesMut::new();
         while let Some(event) = source.splitter.next_event() {
-            source.placed.progress();
+            if event.has_data || event.id.is_some() {
+                source.placed.progress();
+                source.filler_bytes = 0;
+            } else {
+                source.filler_bytes += event.raw.len();
+                if source.filler_bytes > MAX_EVENT_BYTES {
+                    return Err(ReadFailure::faulty("comments without end"));
+                }
+            }
             if let Some(id) = event.id {
                 if self.last_id.is_some_and(|last| id <= last) {
                     continue;
@@ -407,6 +417,10 @@
     fn broken(cause: &str) -> Self {
         Self::Attempt(AttemptFailure::Broken(cause.to_owned()))
     }
+
+    fn faulty(cause: &str) -> Self {
+        Self::Attempt(AttemptFailure::Faulty(cause.to_owned()))
+    }
 }
 
 /// Reads the next bytes of an answer.
@@ -422,10 +436,7 @@
         loop {
             match conn.driver.drive(body.frame()).await {
                 None => return Read::End,
-                Some(Err(error)) => {
-                    let cause = format!("the answer broke off: {error}");
-                    return Read::Lost(AttemptFailure::Broken(cause));
-                }
+                Some(Err(error)) => return Read::Lost(attempt::broke_off(&error)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Read::Data(data);
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -144,7 +144,9 @@
             let detail = "the time in which the request may be dispatched passed";
             (Outcome::NotRun, ProblemKind::NoEndpoint, detail.to_owned())
         }
-        SendError::Written(cause) => (Outcome::Unknown, ProblemKind::EndpointFailed, cause),
+        SendError::Written(cause) | SendError::Malformed(cause) => {
+            (Outcome::Unknown, ProblemKind::EndpointFailed, cause)
+        }
         SendError::Silent => {
             shared.metrics.silent_connections.add(1, &[]);
             shared.client.evict(address);
@@ -478,7 +480,8 @@
         let (conn, response) = sent.map_err(|e| match e {
             SendError::NotWritten(cause)
             | SendError::Refused(cause)
-            | SendError::Written(cause) => cause,
+            | SendError::Written(cause)
+            | SendError::Malformed(cause) => cause,
             SendError::Silent | SendError::Forbidden => "no answer".to_owned(),
         })?;
         let same = response.headers().get(STREAM_ID).is_some_and(|v| v.as_bytes() == id.as_bytes());
