Give nodes of tests ports that the system gives to nothing else

Seen: one of six cases of an_answer_without_end_is_cut_at_a_bound failed once, in Node::start: "Listen readiness 127.0.0.1:37851: Address already in use".

Cause: the tests chose a port by binding port 0 and closing it. Until the node listens, the system gives the same port to an outgoing connection or to a listener of a test beside it. Ruled out: the same port given out twice by the chooser, which the estate's copy excluded already.

Change: one chooser for all tests, with ports below the range from which the system gives ports, one after the other, beginning elsewhere in each process.

--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -5,11 +5,11 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use balsam_standin::address::free_address;
 use balsam_standin::estate::Estate;
 use balsam_standin::estate::EstateOptions;
 use balsam_standin::estate::MODEL_POOL;
 use balsam_standin::estate::OPERATOR_TOKEN;
-use balsam_standin::estate::free_address;
 use balsam_standin::platform::PlatformFaults;
 use serde_json::Value;
 use tempfile::NamedTempFile;
--- a/crates/standin/src/estate.rs
+++ b/crates/standin/src/estate.rs
@@ -1,11 +1,8 @@
 //! A whole small estate in one process: platform, endpoints and entry nodes on loopback.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use balsam_node::Node;
@@ -22,6 +19,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::address::free_address;
 use crate::endpoint::Endpoint;
 use crate::endpoint::EndpointOptions;
 use crate::operator::OperatorHandle;
@@ -352,24 +350,6 @@
     )
 }
 
-/// Ports that this process has given out.
-static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-
-/// Returns a loopback address that was free a moment ago, and never the same one twice.
-///
-/// Peers must know the port before the node listens on it, so port 0 would not do. Estates that are
-/// started side by side must not get the same port: the node that comes second ends, while the
-/// other one answers in its place.
-pub fn free_address() -> std::io::Result<SocketAddr> {
-    loop {
-        let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let mut given = GIVEN_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
-        if given.insert(address.port()) {
-            return Ok(address);
-        }
-    }
-}
-
 /// Describes a live VM in the one fabric domain of its data centre.
 pub fn vm_info(vm: VmName, data_centre: &str, role: VmRole) -> Result<VmInfo, BoxError> {
     Ok(VmInfo {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems around balsamturn, for examples and tests only.
 
+pub mod address;
 pub mod endpoint;
 pub mod estate;
 pub mod operator;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -22,7 +22,7 @@
 use rustix::process::kill_process;
 use tempfile::TempDir;
 
-use crate::estate::free_address;
+use crate::address::free_address;
 use crate::estate::node_settings_text;
 
 /// How often new ports are tried when another process took one of the chosen ones.
