Soak real processes with random faults that overlap

The tests played single faults and pairs of them. The soak draws a schedule from a seed: processes stopped, killed and asked to end, links reset, silent for good, one-way, silent, lossy or cut, the platform down, slow or losing answers, and drains, at a mean of one every 0.45 s, each up to 4 s, so that about five overlap. Callers of each node go on all the while and keep their connections. Afterwards all groups must serve again, every kind of request must be answered at each node, and what callers saw is compared with what the endpoints ran.

--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -13,6 +13,8 @@
 mod nodes;
 mod partitions;
 mod platform;
+mod schedule;
+mod soak;
 
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
