Move the loss of groups out of the reducer's file

The functions that probe members and take attempts away from lost groups move to a module of their own, unchanged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod formation;
 pub mod lease;
 pub mod load;
+mod losses;
 pub mod operators;
 pub mod pauses;
 pub mod placement;
--- /dev/null
+++ b/crates/fleet/src/losses.rs
@@ -0,0 +1,204 @@
+//! Groups that fall silent: their members are probed, and their attempts are taken away.
+//!
+//! See [`crate::suspicion`] for what counts as silence and as a loss.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use balsam_types::GroupName;
+use balsam_types::VmName;
+
+use crate::choice;
+use crate::configuration::Engine;
+use crate::event::Effect;
+use crate::event::LostGroup;
+use crate::event::Note;
+use crate::formation;
+use crate::serving::Kind;
+use crate::serving::Server;
+use crate::state::Fleet;
+use crate::suspicion;
+use crate::suspicion::Evidence;
+use crate::suspicion::Step;
+
+/// Takes back the probes of endpoints that want nothing from this node for a while.
+///
+/// Such an endpoint answered when it said so. A member that dies meanwhile is found by its entry,
+/// which lapses.
+pub(crate) fn spare_paused(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    let is_spared = |effect: &mut Effect| match effect {
+        Effect::Probe { vm, .. } => fleet.pauses.left_ms(now_ms, vm).is_some(),
+        _ => false,
+    };
+    let spared: Vec<Effect> = effects.extract_if(.., is_spared).collect();
+    for effect in spared {
+        if let Effect::Probe { vm, .. } = effect {
+            probed(fleet, now_ms, &vm, true, effects);
+        }
+    }
+}
+
+pub(crate) fn probed(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    vm: &VmName,
+    is_alive: bool,
+    effects: &mut Vec<Effect>,
+) {
+    match fleet.directory.get(vm) {
+        Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
+        None => fleet.planner.departed_probed(now_ms, vm, is_alive),
+    }
+    if is_alive {
+        fleet.suspicions.answers(vm);
+    } else {
+        lose_groups_of(fleet, now_ms, vm, effects);
+    }
+}
+
+/// Takes over that another node reports a group as lost.
+///
+/// The witnesses of the member ask it themselves; the others believe two nodes. When each
+/// of 195 nodes asked, and asked again each second, eleven lost endpoints brought 15,000 probes.
+pub(crate) fn hear_lost(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    node: &Arc<str>,
+    lost: &LostGroup,
+    effects: &mut Vec<Effect>,
+) {
+    let is_enough = fleet.suspicions.reported_lost(now_ms, node, lost);
+    if fleet.suspicions.is_lost(&lost.group, lost.epoch) {
+        return;
+    }
+    let server = fleet.serving.all().find(|(_, server)| {
+        let group = server.group.as_ref();
+        group.is_some_and(|(name, epoch)| *name == lost.group && *epoch == lost.epoch)
+    });
+    let Some((_, server)) = server else { return };
+    let (head, key) = (server.vm.clone(), (lost.group.clone(), lost.epoch));
+    if fleet.is_witness(now_ms, &lost.member) {
+        if let Some(member) = fleet.directory.get(&lost.member)
+            && fleet.suspicions.silent(now_ms, &head, &key, 0) == Step::Ask
+        {
+            effects.push(Effect::Probe { vm: member.vm.clone(), address: member.address });
+        }
+    } else if is_enough {
+        let member = lost.member.clone();
+        if fleet.suspicions.lose_as_reported(now_ms, &head, &key, member.clone()) {
+            abandon(fleet, &head, &key, Some(member), effects);
+        }
+    }
+}
+
+fn probe_members(fleet: &Fleet, key: &(GroupName, u64), effects: &mut Vec<Effect>) {
+    let members = fleet.directory.iter().filter(|endpoint| {
+        endpoint.membership.as_ref().is_some_and(|m| m.group == key.0 && m.epoch == key.1)
+    });
+    effects.extend(members.map(|e| Effect::Probe { vm: e.vm.clone(), address: e.address }));
+}
+
+/// Gives up every group that an endpoint belongs to which does not answer.
+fn lose_groups_of(fleet: &mut Fleet, now_ms: u64, vm: &VmName, effects: &mut Vec<Effect>) {
+    let observed = formation::observe(&fleet.directory);
+    for (key, group) in observed {
+        let is_member = group.members.values().any(|member| member.vm == *vm);
+        if let Some(head) = group.head().filter(|_| is_member) {
+            lose(fleet, now_ms, &head.vm.clone(), &key, Some(vm.clone()), effects);
+        }
+    }
+}
+
+fn lose(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    head: &VmName,
+    key: &(GroupName, u64),
+    member: Option<VmName>,
+    effects: &mut Vec<Effect>,
+) {
+    if !fleet.suspicions.lose(now_ms, head, key, member.clone()) {
+        return;
+    }
+    if member.as_ref().is_some_and(|vm| !fleet.is_witness(now_ms, vm)) {
+        let evidence = Evidence::Observed { at_ms: now_ms };
+        fleet.suspicions.leave_to_witnesses(now_ms, head, evidence);
+    }
+    abandon(fleet, head, key, member, effects);
+}
+
+/// Takes the attempts away from a group that was lost.
+fn abandon(
+    fleet: &Fleet,
+    head: &VmName,
+    key: &(GroupName, u64),
+    member: Option<VmName>,
+    effects: &mut Vec<Effect>,
+) {
+    let tickets = fleet.loads.tickets_at(head);
+    effects.push(Effect::Note(Note::GroupLost {
+        group: key.0.clone(),
+        epoch: key.1,
+        member,
+        abandoned: tickets.len(),
+    }));
+    effects.extend(tickets.into_iter().map(|ticket| Effect::Abandon { ticket }));
+}
+
+/// Looks for heads whose answers have all fallen silent.
+pub(crate) fn watch_heads(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    let loads = &fleet.loads;
+    fleet.suspicions.expire(now_ms, |head| loads.get(head).is_some_and(|load| load.in_flight > 0));
+    for vm in fleet.suspicions.members_to_ask(now_ms) {
+        if let Some(endpoint) = fleet.directory.get(&vm) {
+            effects.push(Effect::Probe { vm, address: endpoint.address });
+        }
+    }
+    let Some((_, engine)) = fleet.engine_pool() else { return };
+    let engine: Engine = engine.clone();
+    let mut unseen_ms: BTreeMap<Kind, f64> = BTreeMap::new();
+    let is_watched = |server: &Server| {
+        server.group.is_some() && fleet.loads.get(&server.vm).is_some_and(|load| load.in_flight > 0)
+    };
+    let heads: Vec<(Kind, Server)> = fleet
+        .serving
+        .all()
+        .filter(|(_, server)| is_watched(server))
+        .map(|(kind, server)| (kind.clone(), server.clone()))
+        .collect();
+    for (kind, server) in heads {
+        let groups = fleet.serving.of(&kind).len() as f64;
+        let unseen_ms = *unseen_ms.entry(kind).or_insert_with_key(|kind| {
+            choice::unseen(fleet, now_ms, kind).total_ms() / groups.max(1.0)
+        });
+        let Some(group) = &server.group else { continue };
+        let Some(load) = fleet.loads.get(&server.vm).filter(|load| load.in_flight > 0) else {
+            continue;
+        };
+        let silent_ms = now_ms.saturating_sub(load.progress_ms.load(Ordering::Relaxed));
+        let (in_flight, unread) = load.total(now_ms);
+        let mut limit_ms =
+            suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread, unseen_ms);
+        if load.started == 0 {
+            // Nothing shows the passes of the group but the prompts that wait to be read.
+            limit_ms = limit_ms.max(suspicion::UNSTARTED_SILENCE_MS);
+        }
+        if silent_ms < limit_ms {
+            fleet.suspicions.moves(&server.vm);
+            continue;
+        }
+        let was_suspect = fleet.suspicions.is_suspect(&server.vm, group);
+        match fleet.suspicions.silent(now_ms, &server.vm, group, silent_ms) {
+            Step::Nothing => {}
+            Step::Ask => {
+                if !was_suspect {
+                    let note = Note::GroupSuspected { group: group.0.clone(), silent_ms };
+                    effects.push(Effect::Note(note));
+                }
+                probe_members(fleet, group, effects);
+            }
+            Step::Leave => lose(fleet, now_ms, &server.vm, group, None, effects),
+        }
+    }
+}
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -1,19 +1,15 @@
 //! The reducer: one event in, the effects to carry out.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use balsam_types::DataCentreName;
-use balsam_types::GroupName;
 use balsam_types::VmName;
 
-use crate::choice;
 use crate::choice::choose;
 use crate::choice::places;
 use crate::choice::read_wait_ms;
 use crate::configuration::Configuration;
-use crate::configuration::Engine;
 use crate::demand;
 use crate::directory::LIST_SILENCE_MS;
 use crate::directory::ListChange;
@@ -24,7 +20,6 @@
 use crate::event::Event;
 use crate::event::Leadership;
 use crate::event::LeaseNews;
-use crate::event::LostGroup;
 use crate::event::Note;
 use crate::event::OrderAnswer;
 use crate::event::PeerReport;
@@ -32,7 +27,7 @@
 use crate::event::Scope;
 use crate::event::Target;
 use crate::event::Ticket;
-use crate::formation;
+use crate::losses;
 use crate::operators::Evacuation;
 use crate::operators::OperatorsNews;
 use crate::planner::View;
@@ -43,9 +38,6 @@
 use crate::state::Fleet;
 use crate::state::Peer;
 use crate::state::rank_of;
-use crate::suspicion;
-use crate::suspicion::Evidence;
-use crate::suspicion::Step;
 use crate::waiting;
 
 /// Applies an event to the state and returns what is to be done.
@@ -77,7 +69,9 @@
             fleet.pauses.ask(now_ms, &vm, pause_ms);
             effects.push(Effect::Note(Note::EndpointPauses { vm, pause_ms }));
         }
-        Event::Probed { vm, is_alive } => probed(fleet, now_ms, &vm, is_alive, &mut effects),
+        Event::Probed { vm, is_alive } => {
+            losses::probed(fleet, now_ms, &vm, is_alive, &mut effects)
+        }
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(news) => lease(fleet, now_ms, news, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
@@ -88,39 +82,10 @@
         }
         Event::Tick => tick(fleet, now_ms, &mut effects),
     }
-    spare_paused(fleet, now_ms, &mut effects);
+    losses::spare_paused(fleet, now_ms, &mut effects);
     effects
 }
 
-/// Takes back the probes of endpoints that want nothing from this node for a while.
-///
-/// Such an endpoint answered when it said so. A member that dies meanwhile is found by its entry,
-/// which lapses.
-fn spare_paused(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
-    let is_spared = |effect: &mut Effect| match effect {
-        Effect::Probe { vm, .. } => fleet.pauses.left_ms(now_ms, vm).is_some(),
-        _ => false,
-    };
-    let spared: Vec<Effect> = effects.extract_if(.., is_spared).collect();
-    for effect in spared {
-        if let Effect::Probe { vm, .. } = effect {
-            probed(fleet, now_ms, &vm, true, effects);
-        }
-    }
-}
-
-fn probed(fleet: &mut Fleet, now_ms: u64, vm: &VmName, is_alive: bool, effects: &mut Vec<Effect>) {
-    match fleet.directory.get(vm) {
-        Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
-        None => fleet.planner.departed_probed(now_ms, vm, is_alive),
-    }
-    if is_alive {
-        fleet.suspicions.answers(vm);
-    } else {
-        lose_groups_of(fleet, now_ms, vm, effects);
-    }
-}
-
 /// Uses an endpoint no more that leaves; the list may show it much later, or never.
 fn leaves(fleet: &mut Fleet, vm: VmName, effects: &mut Vec<Effect>) {
     if let Some(endpoint) = fleet.directory.leaves(&vm)
@@ -388,7 +353,7 @@
     let changes = fleet.operators.hear(now_ms, &report.operators, is_direct);
     effects.extend(evacuation_notes(changes, unconfirmed_ms, Some(&report.node)));
     for lost in &report.lost {
-        hear_lost(fleet, now_ms, &report.node, lost, effects);
+        losses::hear_lost(fleet, now_ms, &report.node, lost, effects);
     }
     let is_own_centre = report.data_centre == fleet.settings.data_centre;
     match report.scope {
@@ -421,102 +386,13 @@
     }
 }
 
-/// Takes over that another node reports a group as lost.
-///
-/// The witnesses of the member ask it themselves; the others believe two nodes. When each
-/// of 195 nodes asked, and asked again each second, eleven lost endpoints brought 15,000 probes.
-fn hear_lost(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    node: &Arc<str>,
-    lost: &LostGroup,
-    effects: &mut Vec<Effect>,
-) {
-    let is_enough = fleet.suspicions.reported_lost(now_ms, node, lost);
-    if fleet.suspicions.is_lost(&lost.group, lost.epoch) {
-        return;
-    }
-    let server = fleet.serving.all().find(|(_, server)| {
-        let group = server.group.as_ref();
-        group.is_some_and(|(name, epoch)| *name == lost.group && *epoch == lost.epoch)
-    });
-    let Some((_, server)) = server else { return };
-    let (head, key) = (server.vm.clone(), (lost.group.clone(), lost.epoch));
-    if fleet.is_witness(now_ms, &lost.member) {
-        if let Some(member) = fleet.directory.get(&lost.member)
-            && fleet.suspicions.silent(now_ms, &head, &key, 0) == Step::Ask
-        {
-            effects.push(Effect::Probe { vm: member.vm.clone(), address: member.address });
-        }
-    } else if is_enough {
-        let member = lost.member.clone();
-        if fleet.suspicions.lose_as_reported(now_ms, &head, &key, member.clone()) {
-            abandon(fleet, &head, &key, Some(member), effects);
-        }
-    }
-}
-
-fn probe_members(fleet: &Fleet, key: &(GroupName, u64), effects: &mut Vec<Effect>) {
-    let members = fleet.directory.iter().filter(|endpoint| {
-        endpoint.membership.as_ref().is_some_and(|m| m.group == key.0 && m.epoch == key.1)
-    });
-    effects.extend(members.map(|e| Effect::Probe { vm: e.vm.clone(), address: e.address }));
-}
-
-/// Gives up every group that an endpoint belongs to which does not answer.
-fn lose_groups_of(fleet: &mut Fleet, now_ms: u64, vm: &VmName, effects: &mut Vec<Effect>) {
-    let observed = formation::observe(&fleet.directory);
-    for (key, group) in observed {
-        let is_member = group.members.values().any(|member| member.vm == *vm);
-        if let Some(head) = group.head().filter(|_| is_member) {
-            lose(fleet, now_ms, &head.vm.clone(), &key, Some(vm.clone()), effects);
-        }
-    }
-}
-
-fn lose(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    head: &VmName,
-    key: &(GroupName, u64),
-    member: Option<VmName>,
-    effects: &mut Vec<Effect>,
-) {
-    if !fleet.suspicions.lose(now_ms, head, key, member.clone()) {
-        return;
-    }
-    if member.as_ref().is_some_and(|vm| !fleet.is_witness(now_ms, vm)) {
-        let evidence = Evidence::Observed { at_ms: now_ms };
-        fleet.suspicions.leave_to_witnesses(now_ms, head, evidence);
-    }
-    abandon(fleet, head, key, member, effects);
-}
-
-/// Takes the attempts away from a group that was lost.
-fn abandon(
-    fleet: &Fleet,
-    head: &VmName,
-    key: &(GroupName, u64),
-    member: Option<VmName>,
-    effects: &mut Vec<Effect>,
-) {
-    let tickets = fleet.loads.tickets_at(head);
-    effects.push(Effect::Note(Note::GroupLost {
-        group: key.0.clone(),
-        epoch: key.1,
-        member,
-        abandoned: tickets.len(),
-    }));
-    effects.extend(tickets.into_iter().map(|ticket| Effect::Abandon { ticket }));
-}
-
 fn tick(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let gone = fleet.directory.expire(now_ms);
     forget(fleet, now_ms, gone, "not listed again", effects);
     follow_lease(fleet, now_ms, effects);
     fill_cold(fleet, now_ms);
     fleet.pauses.expire(now_ms);
-    watch_heads(fleet, now_ms, effects);
+    losses::watch_heads(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
         serve_waiting(fleet, now_ms, &kind, effects);
     }
@@ -565,63 +441,6 @@
     rank_of(node, vm) as f64 / u64::MAX as f64
 }
 
-/// Looks for heads whose answers have all fallen silent.
-fn watch_heads(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
-    let loads = &fleet.loads;
-    fleet.suspicions.expire(now_ms, |head| loads.get(head).is_some_and(|load| load.in_flight > 0));
-    for vm in fleet.suspicions.members_to_ask(now_ms) {
-        if let Some(endpoint) = fleet.directory.get(&vm) {
-            effects.push(Effect::Probe { vm, address: endpoint.address });
-        }
-    }
-    let Some((_, engine)) = fleet.engine_pool() else { return };
-    let engine: Engine = engine.clone();
-    let mut unseen_ms: BTreeMap<Kind, f64> = BTreeMap::new();
-    let is_watched = |server: &Server| {
-        server.group.is_some() && fleet.loads.get(&server.vm).is_some_and(|load| load.in_flight > 0)
-    };
-    let heads: Vec<(Kind, Server)> = fleet
-        .serving
-        .all()
-        .filter(|(_, server)| is_watched(server))
-        .map(|(kind, server)| (kind.clone(), server.clone()))
-        .collect();
-    for (kind, server) in heads {
-        let groups = fleet.serving.of(&kind).len() as f64;
-        let unseen_ms = *unseen_ms.entry(kind).or_insert_with_key(|kind| {
-            choice::unseen(fleet, now_ms, kind).total_ms() / groups.max(1.0)
-        });
-        let Some(group) = &server.group else { continue };
-        let Some(load) = fleet.loads.get(&server.vm).filter(|load| load.in_flight > 0) else {
-            continue;
-        };
-        let silent_ms = now_ms.saturating_sub(load.progress_ms.load(Ordering::Relaxed));
-        let (in_flight, unread) = load.total(now_ms);
-        let mut limit_ms =
-            suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread, unseen_ms);
-        if load.started == 0 {
-            // Nothing shows the passes of the group but the prompts that wait to be read.
-            limit_ms = limit_ms.max(suspicion::UNSTARTED_SILENCE_MS);
-        }
-        if silent_ms < limit_ms {
-            fleet.suspicions.moves(&server.vm);
-            continue;
-        }
-        let was_suspect = fleet.suspicions.is_suspect(&server.vm, group);
-        match fleet.suspicions.silent(now_ms, &server.vm, group, silent_ms) {
-            Step::Nothing => {}
-            Step::Ask => {
-                if !was_suspect {
-                    let note = Note::GroupSuspected { group: group.0.clone(), silent_ms };
-                    effects.push(Effect::Note(note));
-                }
-                probe_members(fleet, group, effects);
-            }
-            Step::Leave => lose(fleet, now_ms, &server.vm, group, None, effects),
-        }
-    }
-}
-
 fn plan(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let Fleet { configuration, directory, demand, suspicions, planner, operators, .. } = fleet;
     let Some(configuration) = configuration else { return };
