Say nothing of earlier requests before the claim of a key is looked up

What callers saw: a registration was repeated under its key and answered `not_run`, although the first request had run. A caller that relies on it and takes a new key registers twice.

Cause, from reading: refusals before the claim is looked up said `not_run` of a request whose key they had not looked at.

Change: a refusal before the claim has the outcome `unknown` if the request has a key, as when the log cannot confirm a claim. A node without organisations answers 503 `no-endpoint` with Retry-After instead of 401.

Test: a_refusal_before_the_claim_says_nothing_of_earlier_requests.

--- a/crates/node/tests/process/bed.rs
+++ b/crates/node/tests/process/bed.rs
@@ -44,6 +44,7 @@
 use crate::checker::Ran;
 use crate::checker::Stop;
 use crate::checker::Stopped;
+use crate::checker::Violation;
 use crate::checker::check;
 
 pub const NODES: [usize; 6] = [0, 1, 2, 3, 4, 5];
@@ -405,10 +406,30 @@
         let replayed = replayed.filter(|seen| seen.replayed).count();
         eprintln!("calls {}: ok {ok}, unknown {unknown}, replayed {replayed}", calls.len());
         let violations = check(&observed);
+        for label in violations.iter().filter_map(Violation::label) {
+            self.print_request(calls, label);
+        }
         assert!(violations.is_empty(), "seed {}: {violations:#?}", self.seed);
     }
 }
 
+impl Bed {
+    /// Prints what is known of one request: its calls, its runs, and what the nodes logged of it.
+    fn print_request(&self, calls: &[Call], label: &str) {
+        for call in calls.iter().filter(|call| call.label == label) {
+            eprintln!("{label}: {call:?}");
+        }
+        for execution in self.executions().iter().filter(|found| ran(found).label == label) {
+            eprintln!("{label} ran: {execution:?}");
+        }
+        for node in &self.nodes {
+            let log = node.process.log();
+            let lines = log.lines().filter(|line| line.contains(label));
+            lines.for_each(|line| eprintln!("{}: {line}", node.spec.vm));
+        }
+    }
+}
+
 /// Starts a process whose connections are known by their data centre from the first one on.
 fn start_process(spec: &NodeSpec, sources: &Sources) -> NodeProcess {
     let started = |process| {
--- a/crates/node/tests/process/checker.rs
+++ b/crates/node/tests/process/checker.rs
@@ -53,6 +53,20 @@
     AboveColdLimit(String),
 }
 
+impl Violation {
+    /// Returns the request that is concerned, if it is one.
+    pub fn label(&self) -> Option<&str> {
+        match self {
+            Self::RanTwice(label)
+            | Self::FalseNotRun(label)
+            | Self::Truncated(label)
+            | Self::OtherAnswer(label)
+            | Self::NeverRan(label) => Some(label),
+            Self::WorkAfterStop(..) | Self::AboveColdLimit(_) => None,
+        }
+    }
+}
+
 /// Returns every broken promise.
 pub fn check(observed: &Observed) -> Vec<Violation> {
     let mut runs: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
--- a/crates/serve/src/caller.rs
+++ b/crates/serve/src/caller.rs
@@ -24,6 +24,9 @@
 /// The header that identifies a request in logs.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 
+/// The header that names a request across its repeats.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 const LOWEST_PRIORITY: u8 = 9;
 const DEFAULT_PRIORITY: u8 = 5;
 
@@ -40,6 +43,10 @@
     table: &Table,
     headers: &HeaderMap,
 ) -> Result<Arc<OrganisationSpec>, AttemptFailure> {
+    if table.organisations.is_empty() {
+        let detail = "the entry node does not know the organisations yet";
+        return Err(not_run(ProblemKind::NoEndpoint, detail));
+    }
     let refused = |detail| not_run(ProblemKind::Unauthenticated, detail);
     let value = single(headers, header::AUTHORIZATION.as_str())?;
     let value = value.ok_or_else(|| refused("the Authorization header is missing"))?;
@@ -65,7 +72,7 @@
 /// Reads the control headers.
 pub(crate) fn control(headers: &HeaderMap) -> Result<Control, AttemptFailure> {
     let invalid = |detail| not_run(ProblemKind::InvalidRequest, detail);
-    let key = single(headers, "idempotency-key")?.map(Arc::from);
+    let key = single(headers, IDEMPOTENCY_KEY)?.map(Arc::from);
     let deadline_in_ms = match single(headers, "request-deadline-ms")? {
         None => None,
         Some(text) => {
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -8,6 +8,8 @@
 
 use balsam_http::Client;
 use balsam_types::ClaimKey;
+use balsam_types::Outcome;
+use balsam_types::RouteSpec;
 use balsam_types::claim::RequestHash;
 use http::HeaderValue;
 use http::Method;
@@ -19,8 +21,10 @@
 use viz::Request;
 use viz::Response;
 
+use crate::admit::Admitted;
 use crate::admit::Gate;
 use crate::body::BodyBytes;
+use crate::body::HeldBytes;
 use crate::body::read_body;
 use crate::caller;
 use crate::caller::not_run;
@@ -179,6 +183,17 @@
     response
 }
 
+/// A request that was admitted, before anything is known of its key.
+struct Prepared {
+    call: Call,
+    route: Arc<RouteSpec>,
+    /// The key, if the request claims it.
+    key: Option<Arc<str>>,
+    admitted: Arc<Admitted>,
+    /// Counts the bytes of the body for as long as they are held.
+    _held: HeldBytes,
+}
+
 async fn respond_to(
     shared: &Arc<Shared>,
     request: Request,
@@ -187,11 +202,49 @@
     started: Instant,
     open: OpenGuard,
 ) -> Result<Response, AttemptFailure> {
+    let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
+    let prepared = prepare(shared, request, request_id, route_name).await;
+    let prepared = prepared.map_err(|failure| match has_key {
+        true => before_claim(failure),
+        false => failure,
+    })?;
+    let Prepared { mut call, route, key, admitted, _held } = prepared;
+    let mut end = AnswerEnd {
+        _admitted: admitted.clone(),
+        shared: shared.clone(),
+        route: route_name.clone(),
+        started,
+        comparison: None,
+        _open: open.clone(),
+    };
+    let Some(key) = key else {
+        end.comparison = compare::start(shared, &route, &call);
+        let answer = flow::run(shared, &call, true).await?;
+        return Ok(respond::answer(answer, end));
+    };
+    call.idempotent = false;
+    let request = claim_request(&call, key)?;
+    match keyed::run(shared, call, request, (open, admitted)).await? {
+        Keyed::Answer(answer) => Ok(respond::answer(answer, end)),
+        Keyed::Replay(stored) => {
+            shared.metrics.request(route_name, Outcome::Completed);
+            Ok(respond::replay(&stored))
+        }
+    }
+}
+
+/// Checks a request and waits until it may run.
+async fn prepare(
+    shared: &Arc<Shared>,
+    request: Request,
+    request_id: &HeaderValue,
+    route_name: &mut Arc<str>,
+) -> Result<Prepared, AttemptFailure> {
     let (parts, body) = request.into_parts();
     let table = (shared.ports.table)();
     let organisation = caller::organisation(&table, &parts.headers)?;
     let control = caller::control(&parts.headers)?;
-    let (body, _held) =
+    let (body, held) =
         read_body(&shared.options, &shared.body_bytes, &organisation.organisation, body).await?;
     let route = caller::route(&table, &parts, &body)?;
     *route_name = Arc::from(route.route.as_str());
@@ -199,7 +252,7 @@
     let deadline_ms = (shared.ports.now_ms)() + asked_ms.min(shared.options.max_deadline_ms);
     let path_and_query = parts.uri.path_and_query().map_or("/", |p| p.as_str());
     let is_chat = parts.method == Method::POST && parts.uri.path() == caller::CHAT_PATH;
-    let mut call = Call {
+    let call = Call {
         organisation: organisation.organisation.clone(),
         pool: route.pool.clone(),
         path_and_query: Arc::from(path_and_query),
@@ -212,31 +265,17 @@
         dispatch_until_ms: None,
         method: parts.method,
     };
+    let claims = !call.idempotent || is_chat;
+    let key = control.key.filter(|_| claims);
     let gate = &shared.gate;
     let admitted = Arc::new(gate.admit(&organisation, control.priority, deadline_ms).await?);
-    let mut end = AnswerEnd {
-        _admitted: admitted.clone(),
-        shared: shared.clone(),
-        route: route_name.clone(),
-        started,
-        comparison: None,
-        _open: open.clone(),
-    };
-    let claims = !call.idempotent || is_chat;
-    let Some(key) = control.key.filter(|_| claims) else {
-        end.comparison = compare::start(shared, &route, &call);
-        let answer = flow::run(shared, &call, true).await?;
-        return Ok(respond::answer(answer, end));
-    };
-    call.idempotent = false;
-    let request = claim_request(&call, key)?;
-    match keyed::run(shared, call, request, (open, admitted)).await? {
-        Keyed::Answer(answer) => Ok(respond::answer(answer, end)),
-        Keyed::Replay(stored) => {
-            shared.metrics.request(route_name, balsam_types::Outcome::Completed);
-            Ok(respond::replay(&stored))
-        }
-    }
+    Ok(Prepared { call, route, key, admitted, _held: held })
+}
+
+/// Returns the refusal of a request with a key before its claim was looked up: an earlier request
+/// with the key may have run, so nothing may be said of what has not.
+fn before_claim(failure: AttemptFailure) -> AttemptFailure {
+    AttemptFailure { outcome: failure.outcome.and_attempt(Outcome::Unknown), ..failure }
 }
 
 fn claim_request(call: &Call, raw_key: Arc<str>) -> Result<ClaimRequest, AttemptFailure> {
--- a/crates/serve/tests/serve/keyed.rs
+++ b/crates/serve/tests/serve/keyed.rs
@@ -8,6 +8,8 @@
 use balsam_standin::endpoint::Fault;
 use balsam_types::Offset;
 use balsam_types::StoredResponse;
+use http::HeaderName;
+use http_body_util::Full;
 use rstest::rstest;
 
 use crate::support::Rig;
@@ -132,3 +134,37 @@
     assert_eq!(response.headers()["idempotent-replayed"], "true");
     assert_eq!(problem(response).await["outcome"], "completed");
 }
+
+/// Guards against `not_run` for a repeat whose first request ran: an entry node that had just been
+/// replaced knew no organisations and answered 401 `not_run` (found by the soak, seeds 11 and 13).
+#[rstest]
+#[case::no_state_yet(true, None, 503, "no-endpoint")]
+#[case::refused_header(false, Some(("request-priority", "ten")), 400, "invalid-request")]
+#[case::unknown_token(false, Some(("authorization", "Bearer nobody")), 401, "unauthenticated")]
+#[tokio::test]
+async fn a_refusal_before_the_claim_says_nothing_of_earlier_requests(
+    #[case] is_fresh: bool,
+    #[case] header: Option<(&str, &str)>,
+    #[case] status: u16,
+    #[case] kind: &str,
+    #[values(true, false)] has_key: bool,
+) {
+    let service = service().await;
+    let rig = Rig::start(&[], &[&service]).await;
+    if is_fresh {
+        *rig.fakes.table.lock().unwrap() = Arc::default();
+    }
+    let mut request = rig.request("POST", "/orders").body(Full::from("book 1")).unwrap();
+    let headers = request.headers_mut();
+    if let Some((name, value)) = header {
+        headers.insert(HeaderName::try_from(name).unwrap(), value.parse().unwrap());
+    }
+    if has_key {
+        headers.insert("idempotency-key", "k1".parse().unwrap());
+    }
+    let response = rig.send(request).await;
+    assert_eq!(response.status(), status);
+    let problem = problem(response).await;
+    assert_eq!(problem["type"], format!("urn:balsamturn:problem:{kind}"));
+    assert_eq!(problem["outcome"], if has_key { "unknown" } else { "not_run" });
+}
