Count what is known of the operators' topic from the beginning of an answer

Cause: since an answer that goes on coming may take 3 s, a read confirmed what it found when its last byte came. The node's knowledge looked up to 3 s younger than it was, against a bound of 5 s for an evacuation.

Change: a read says when the head of its answer came, for several pages that of the first one, which names the end of the topic; the age counts from there.

Test: a_slow_answer_confirms_as_of_its_beginning.

--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -49,6 +49,8 @@
     Confirmed {
         /// The position after the last record of the topic.
         end: u64,
+        /// The time as of which nothing followed.
+        as_of_ms: u64,
     },
 }
 
@@ -135,7 +137,7 @@
     /// Applies what a read found; returns what it changed.
     ///
     /// An answer from before the position is known already, and must not undo what came later.
-    pub(crate) fn apply(&mut self, now_ms: u64, news: OperatorsNews) -> Vec<Evacuation> {
+    pub(crate) fn apply(&mut self, news: OperatorsNews) -> Vec<Evacuation> {
         match news {
             OperatorsNews::Whole { end, evacuated } => self.replace(end, evacuated),
             OperatorsNews::Record { at, data_centre, is_out } => {
@@ -149,11 +151,11 @@
                 };
                 is_change.then_some(Evacuation { data_centre, is_out }).into_iter().collect()
             }
-            OperatorsNews::Confirmed { end } => {
+            OperatorsNews::Confirmed { end, as_of_ms } => {
                 if end >= self.position {
                     self.position = end;
-                    self.read_ms = Some(now_ms);
-                    self.confirmed_ms = Some(now_ms);
+                    self.read_ms = self.read_ms.max(Some(as_of_ms));
+                    self.confirmed_ms = self.confirmed_ms.max(Some(as_of_ms));
                 }
                 Vec::new()
             }
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -133,7 +133,7 @@
 
 fn operators(fleet: &mut Fleet, now_ms: u64, news: OperatorsNews, effects: &mut Vec<Effect>) {
     let unconfirmed_ms = fleet.operators.age_ms(now_ms);
-    let changes = fleet.operators.apply(now_ms, news);
+    let changes = fleet.operators.apply(news);
     effects.extend(evacuation_notes(changes, unconfirmed_ms, None));
 }
 
--- a/crates/fleet/tests/fleet/operators.rs
+++ b/crates/fleet/tests/fleet/operators.rs
@@ -24,6 +24,10 @@
     OperatorsNews::Record { at, data_centre: support::data_centre("a"), is_out }
 }
 
+fn confirmed(end: u64, as_of_ms: u64) -> OperatorsNews {
+    OperatorsNews::Confirmed { end, as_of_ms }
+}
+
 fn is_out(fleet: &Fleet) -> bool {
     fleet.operators.evacuated().contains(&support::data_centre("a"))
 }
@@ -48,21 +52,30 @@
 #[test]
 fn an_old_answer_does_not_confirm() {
     let mut fleet = support::fleet("node");
-    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 1_000, confirmed(4, 1_000));
     tell(&mut fleet, 2_000, record(4, true));
-    tell(&mut fleet, 2_500, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 2_500, confirmed(4, 2_500));
     assert_eq!(fleet.operators.age_ms(3_000), Some(2_000));
-    tell(&mut fleet, 2_600, OperatorsNews::Confirmed { end: 5 });
+    tell(&mut fleet, 2_600, confirmed(5, 2_600));
     assert_eq!(fleet.operators.age_ms(3_000), Some(400));
 }
 
+/// A large answer takes seconds on a slow link, and says nothing of what changed after it began.
+#[test]
+fn a_slow_answer_confirms_as_of_its_beginning() {
+    let mut fleet = support::fleet("node");
+    tell(&mut fleet, 4_000, confirmed(4, 1_500));
+    assert_eq!(fleet.operators.age_ms(4_000), Some(2_500));
+    assert_eq!(fleet.report(4_000).operators.read_age_ms, Some(2_500));
+}
+
 /// The log has one line for each order, with the time for which the node had not known of it; lines
 /// for reads that changed nothing hid the one that mattered.
 #[test]
 fn an_order_is_noted_once_with_the_age_of_what_was_known() {
     let mut fleet = support::fleet("node");
     let data_centre = support::data_centre("a");
-    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 1_000, confirmed(4, 1_000));
     let noted = tell(&mut fleet, 3_500, record(4, true));
     let unconfirmed_ms = Some(2_500);
     let note = Note::Evacuation { data_centre, is_out: true, unconfirmed_ms, told_by: None };
@@ -83,7 +96,7 @@
 #[case::of_a_data_centre(Scope::DataCentre { nodes: 4, age_ms: 0 })]
 fn an_order_that_another_node_knows_holds(#[case] scope: Scope) {
     let mut fleet = support::fleet("node");
-    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 1_000, confirmed(4, 1_000));
     let evacuated = BTreeSet::from([support::data_centre("a")]);
     let told = OperatorsReport { position: 5, evacuated, read_age_ms: Some(10) };
     assert_eq!(hear(&mut fleet, 2_000, scope, told).len(), 1, "the order is noted");
@@ -101,7 +114,7 @@
 fn only_the_read_of_the_sender_keeps_knowledge_young() {
     let told = |read_age_ms| OperatorsReport { position: 4, read_age_ms, ..Default::default() };
     let mut fleet = support::fleet("node");
-    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 1_000, confirmed(4, 1_000));
     hear(&mut fleet, 3_000, Scope::DataCentre { nodes: 4, age_ms: 0 }, told(Some(0)));
     hear(&mut fleet, 3_000, Scope::Node, told(None));
     assert_eq!(fleet.operators.age_ms(3_000), Some(2_000));
@@ -115,7 +128,7 @@
 #[test]
 fn a_node_asks_before_its_knowledge_is_too_old() {
     let mut fleet = support::fleet("node");
-    tell(&mut fleet, 1_000, OperatorsNews::Confirmed { end: 4 });
+    tell(&mut fleet, 1_000, confirmed(4, 1_000));
     let alone = fleet.watch(1_000);
     assert!(alone.is_watcher && alone.wait_ms < alone.max_age_ms);
     assert_eq!(fleet.operators_due_ms(1_000 + alone.max_age_ms), 0);
