Let a read that brings a configuration end before it is given up

Cause, from a replay with logs: a report of a newer version cut the node's own read short, although it was bringing that version, and started a read of the whole topic, which is a third larger. Of a large configuration, at 25.6 s, 162 of 195 nodes got no such read answered within 0.8 s and asked again; 131 reads of the list went unanswered in the next second and 60 nodes had no list. The reads share one rate of the store.

Ruled out: slow links alone (most nodes had version 32, as large, within 0.3 s).

--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,6 +9,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsam_fleet::Event;
@@ -173,8 +175,9 @@
     /// The newest summaries of other data centres as they came, with the time.
     summaries: Mutex<BTreeMap<DataCentreName, (u64, Vec<u8>)>>,
     news: mpsc::Sender<ListNews>,
-    /// Woken when another node has a newer configuration.
-    pub newer_configuration: Notify,
+    /// The newest version of the configuration that another node reported.
+    heard_version: AtomicU64,
+    heard_newer: Notify,
 }
 
 impl Gossip {
@@ -192,7 +195,8 @@
             peers: Mutex::default(),
             summaries: Mutex::default(),
             news,
-            newer_configuration: Notify::new(),
+            heard_version: AtomicU64::new(0),
+            heard_newer: Notify::new(),
         };
         (Arc::new(gossip), receiver)
     }
@@ -216,6 +220,24 @@
         }
     }
 
+    fn has_heard_newer(&self) -> bool {
+        self.heard_version.load(Ordering::Relaxed) > self.hub.read(|fleet| fleet.version())
+    }
+
+    /// Returns when other nodes have had a newer configuration for so long.
+    ///
+    /// The node's own read mostly brings it meanwhile. Cutting that read short made 195 nodes ask for
+    /// a large configuration again and again, and the store had nothing left for other reads.
+    pub async fn newer_configuration(&self, patience: Duration) {
+        loop {
+            self.heard_newer.notified().await;
+            tokio::time::sleep(patience).await;
+            if self.has_heard_newer() {
+                return;
+            }
+        }
+    }
+
     /// Whether another node was heard since the start.
     pub fn has_heard_nodes(&self) -> bool {
         self.peers().values().any(|peer| peer.data_centre.is_some())
@@ -412,8 +434,9 @@
             Scope::Node => self.heard(from, &report),
             Scope::DataCentre { .. } => self.heard_summary(from, &data_centre, &nodes, bytes),
         }
-        if report.version > self.hub.read(|fleet| fleet.version()) {
-            self.newer_configuration.notify_one();
+        self.heard_version.fetch_max(report.version, Ordering::Relaxed);
+        if self.has_heard_newer() {
+            self.heard_newer.notify_one();
         }
         let is_single = report.scope == Scope::Node;
         self.hub.apply(Event::Peer(report));
