--- a/crates/node/tests/process/soak.rs
+++ b/crates/node/tests/process/soak.rs
@@ -287,8 +287,12 @@
             soak.end(&steps[at]).await;
         }
     }
+    let passed = |what| eprintln!("{what} after {} ms", started.elapsed().as_millis());
+    passed("faults ended");
     soak.heal().await;
+    passed("all groups serve");
     let mut calls = load.finish().await;
+    passed("callers ended");
     calls.extend(assert_unclaimed_go_on(&soak.bed, &NODES, &format!("calm{seed}")).await);
     for node in NODES {
         let label = format!("calm{seed}.key{node}");
