--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -19,8 +19,8 @@
 /// Part of the greatest age at which a watcher asks anew.
 const WATCHER_AGE_SHARE: f64 = 0.75;
 
-/// The same at other nodes: later, so that what the watchers find reaches them first and one silence
-/// does not make all nodes read.
+/// The same at other nodes: later, so that what the watchers find reaches them first and one
+/// silence does not make all nodes read.
 const OTHER_AGE_SHARE: f64 = 0.9;
 
 /// Waiting time of a read at other nodes.
--- a/crates/fleet/src/pauses.rs
+++ b/crates/fleet/src/pauses.rs
@@ -1,7 +1,7 @@
 //! Endpoints that want nothing from this node for a while.
 //!
-//! Answers an endpoint in trouble: requests that it turns away one after another cost it time and the
-//! callers their retry budget.
+//! Answers an endpoint in trouble: requests that it turns away one after another cost it time and
+//! the callers their retry budget.
 
 use std::collections::BTreeMap;
 
--- a/crates/fleet/src/prospect.rs
+++ b/crates/fleet/src/prospect.rs
@@ -1,7 +1,7 @@
 //! Whether a request that finds no place can be served at all while its caller waits.
 //!
-//! Answers the loss of all endpoints that a request may use, by an evacuation, failures or pauses: a
-//! caller that is told at once can come back when there is something to come back to.
+//! Answers the loss of all endpoints that a request may use, by an evacuation, failures or pauses:
+//! a caller that is told at once can come back when there is something to come back to.
 
 use crate::choice::places;
 use crate::endpoint::MemberState;
@@ -17,7 +17,8 @@
 /// Returns the refusal of a request that is known not to be servable in its time; `None` if an
 /// endpoint may still take it.
 ///
-/// The rest of an answer that the caller has in part is waited for: refusing it would waste that part.
+/// The rest of an answer that the caller has in part is waited for: refusing it would waste that
+/// part.
 pub(crate) fn refusal(
     fleet: &Fleet,
     now_ms: u64,
--- a/crates/fleet/tests/fleet/waiting.rs
+++ b/crates/fleet/tests/fleet/waiting.rs
@@ -171,8 +171,9 @@
     assert!(is_told(&effects, 1, 1_500), "{effects:?}");
 }
 
-/// Requests that wait are turned away as soon as nothing can serve them any more, repeats too, which
-/// waited until their deadline. The rest of an answer that the caller has in part is waited for.
+/// Requests that wait are turned away as soon as nothing can serve them any more, repeats too,
+/// which waited until their deadline. The rest of an answer that the caller has in part is waited
+/// for.
 #[test]
 fn what_can_no_longer_be_served_is_refused_at_once() {
     let mut fleet = full_group();
--- a/crates/fleet/tests/fleet/wishes.rs
+++ b/crates/fleet/tests/fleet/wishes.rs
@@ -35,7 +35,8 @@
     Event::Pauses { vm: vm("one"), pause_ms: PAUSE_MS }
 }
 
-/// Every way to an endpoint asks whether it wants requests: rules DRAIN and BUDGET count each of them.
+/// Every way to an endpoint asks whether it wants requests: rules DRAIN and BUDGET count each of
+/// them.
 #[rstest]
 #[case::leaves(leaves())]
 #[case::pauses(pauses())]
@@ -93,8 +94,8 @@
     assert_eq!(dispatched(&effects, 2), Some(vm("one")));
 }
 
-/// Probes reach an endpoint as requests do. One that turned a request away a moment ago lives, and is
-/// not asked while it wants nothing.
+/// Probes reach an endpoint as requests do. One that turned a request away a moment ago lives, and
+/// is not asked while it wants nothing.
 #[test]
 fn an_endpoint_that_pauses_is_not_probed() {
     let head = support::head("one", 1);
--- a/crates/node/tests/process/soak.rs
+++ b/crates/node/tests/process/soak.rs
@@ -36,8 +36,8 @@
 use crate::schedule::Trouble;
 use crate::schedule::draw;
 
-/// Seeds that failed once. In 11 and 13, a repeat under a key reached an entry node that had just been
-/// replaced and was told `not_run`, although the first request had run.
+/// Seeds that failed once. In 11 and 13, a repeat under a key reached an entry node that had just
+/// been replaced and was told `not_run`, although the first request had run.
 const REGRESSIONS: [u64; 2] = [11, 13];
 
 /// Fresh seeds of a run without a list of its own.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -226,8 +226,8 @@
 
     /// Returns when other nodes have had a newer configuration for so long.
     ///
-    /// The node's own read mostly brings it meanwhile. Cutting that read short made 195 nodes ask for
-    /// a large configuration again and again, and the store had nothing left for other reads.
+    /// The node's own read mostly brings it meanwhile. Cutting that read short made 195 nodes ask
+    /// for a large configuration again and again, and the store had nothing left for other reads.
     pub async fn newer_configuration(&self, patience: Duration) {
         loop {
             self.heard_newer.notified().await;
--- a/crates/standin/src/address.rs
+++ b/crates/standin/src/address.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::Ordering;
 
 /// The ports that are given out. They lie below those that the system gives to outgoing connections
-/// and to listeners without a port of their own: one of these took a port between its choice and the
-/// start of its node.
+/// and to listeners without a port of their own: one of these took a port between its choice and
+/// the start of its node.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
 /// Ports between the first ones of two processes whose ids follow each other.
