--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,6 +1,9 @@
 //! Platform-specific headers of requests and answers.
 
+use std::sync::Arc;
+
 use balsam_types::ModelName;
+use balsam_types::SegmentName;
 use http::HeaderMap;
 use http::HeaderName;
 
@@ -25,15 +28,17 @@
     pub last_event_id: HeaderName,
     /// The priority at the endpoint, from 0 (highest) to 9.
     pub priority: HeaderName,
-    /// Parses the model and the size of a request.
+    /// Parses the model, the prompt and the size of a request.
     pub work: fn(&HeaderMap) -> Work,
 }
 
-/// The model and the size of a request.
+/// The model, the prompt and the size of a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Work {
     /// The model, if the request is for a model engine.
     pub model: Option<ModelName>,
+    /// The segments of the prompt that other requests may share.
+    pub shared_segments: Arc<[SegmentName]>,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
     /// Expected number of tokens in the answer.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -283,18 +283,22 @@
 }
 
 impl Shared {
-    /// Logs a failed attempt.
+    /// Counts a failed attempt and logs it; `has_events` tells whether an event of its answer arrived.
     pub fn log_attempt_failure(
         &self,
         request: &Request,
         tried: &[VmName],
         failure: &AttemptFailure,
+        has_events: bool,
     ) {
+        self.hub.metrics.attempt_failure(failure.as_str(), has_events);
         if let Some(dropped) = self.hub.log_limiter.take("attempt_failed") {
             info!(self.hub.log, "attempt failed"; "kind" => "attempt_failed",
                 "request" => request.id_text(), "route" => %request.route.name,
                 "endpoint" => tried.last().map(|vm| vm.as_str().to_owned()),
-                "failure" => ?failure, "age_ms" => now_ms() - request.arrived_ms,
+                "failure" => ?failure, "has_events" => has_events,
+                "segments" => ?request.work.shared_segments,
+                "age_ms" => now_ms() - request.arrived_ms,
                 "dropped_lines" => dropped);
         }
     }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Whether an event of the answer arrived.
+    pub fn is_started(&self) -> bool {
+        self.is_started
+    }
+
     /// Ends the attempt with this outcome.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.finish(outcome);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -12,6 +12,7 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     repeats: Counter<u64>,
+    attempt_failures: Counter<u64>,
     decisions: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
@@ -31,6 +32,7 @@
             answers: meter.u64_counter("balsamturn.relay.answers").build(),
             refusals: meter.u64_counter("balsamturn.relay.refusals").build(),
             repeats: meter.u64_counter("balsamturn.relay.repeats").build(),
+            attempt_failures: meter.u64_counter("balsamturn.relay.attempt_failures").build(),
             decisions: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
@@ -50,6 +52,11 @@
         self.repeats.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    pub(crate) fn attempt_failure(&self, cause: &'static str, has_events: bool) {
+        let labels = [KeyValue::new("cause", cause), KeyValue::new("has_events", has_events)];
+        self.attempt_failures.add(1, &labels);
+    }
+
     pub(crate) fn decision(&self, kind: &'static str) {
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -60,7 +60,7 @@
                 error_answer = Some(answer);
             }
             Err(failure) => {
-                shared.log_attempt_failure(request, &tried, &failure);
+                shared.log_attempt_failure(request, &tried, &failure, false);
                 counts.count_failure(&failure);
                 if !counts.allows_retry(request) {
                     return give_up(
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -216,7 +216,8 @@
 
     /// Records a failed attempt; an error if no further attempt is allowed.
     fn record_failure(&mut self, failure: &AttemptFailure) -> Result<(), StreamError> {
-        self.shared.log_attempt_failure(&self.request, &self.tried, failure);
+        let has_events = self.upstream.as_ref().is_some_and(|u| u.placement.is_started());
+        self.shared.log_attempt_failure(&self.request, &self.tried, failure, has_events);
         if let Some(upstream) = self.upstream.take() {
             upstream.placement.end(failure.outcome());
         }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,6 +35,7 @@
 pub use name::PoolName;
 pub use name::RegionName;
 pub use name::RouteName;
+pub use name::SegmentName;
 pub use name::VmName;
 pub use outcome::Outcome;
 pub use record::Author;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -87,6 +87,11 @@
     ModelName,
     "model"
 );
+name_type!(
+    /// A part of a prompt that several requests share, such as a system prompt or a document.
+    SegmentName,
+    "prompt segment"
+);
 name_type!(
     /// A customer; callers and limits are separate for each organisation.
     OrganisationName,
