Form a group of a little-used model that has none

What callers saw: 503 for every request of a model once all its endpoints had restarted while little work needed it. Cause: under load, a group is formed only if the model's groups are used by more than 0.2, counted as half a group where there is none. With 0.05 to 0.1 busy groups that is never reached. Change: a model that is in demand and has no group gets one.

--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -294,9 +294,11 @@
     let used = usage.of(model);
     let with_weights = domain.free.iter().filter(|e| has_weights(planner, e, model)).count();
     let has_weights = with_weights >= model.size as usize;
-    let is_wanted = match has_weights {
-        true => used > FORM_MIN_USE,
-        false => used > LOAD_MIN_USE,
+    // Without a group, even a single request cannot be served.
+    let is_wanted = match (usage.count(model), has_weights) {
+        (0, _) => used > 0.0,
+        (_, true) => used > FORM_MIN_USE,
+        (_, false) => used > LOAD_MIN_USE,
     };
     // A group that can serve within two seconds has precedence over one that has to load.
     is_wanted.then_some(if has_weights { used + 1.0 } else { used })
--- a/crates/fleet/tests/fleet/groups.rs
+++ b/crates/fleet/tests/fleet/groups.rs
@@ -100,6 +100,32 @@
     assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
 }
 
+/// A model that little work needed was not served again once all its endpoints had restarted: the
+/// work was below the threshold for forming one more group, and its callers were refused forever.
+#[test]
+fn a_little_used_model_without_a_group_gets_one() {
+    let mut simulation = Simulation::new(8);
+    simulation.run(FORMATION_MS);
+    let used = |simulation: &Simulation| {
+        simulation.fleet.demand.total(simulation.now_ms, &support::model(SMALL)).total
+    };
+    demand(&mut simulation, SMALL, 0.12);
+    simulation.run(950);
+    simulation.hosts.values_mut().for_each(|host| host.entry.membership = None);
+    for _ in 0..60 {
+        if used(&simulation) < 0.07 {
+            demand(&mut simulation, SMALL, 0.02);
+        }
+        assert!((0.05..0.1).contains(&used(&simulation)), "{}", used(&simulation));
+        simulation.run(100);
+    }
+    assert!(
+        simulation.serving().contains_key(&support::model(SMALL)),
+        "{:?}",
+        simulation.serving()
+    );
+}
+
 /// Endpoints that replace lost ones start without weights. One of them kept seven orphans of a
 /// group of eight out of service until all were ordered to load together.
 #[test]
