Quarantine prompt segments that crash endpoints

Cause: a broken attempt was put down to its endpoint alone. Nothing related the crashes to what their requests had in common, neither on a node nor between nodes, and each request was sent to a second endpoint. Change: the segments of attempts that an endpoint's crash ended before their second event are suspects. Nodes exchange the evidence in their reports. Three crashes at different times without an answer in between quarantine a segment; a node withdraws what it had accepted and refuses what comes. Segments that always occurred together are blamed together, so that requests with only one of them are served; an answer acquits; crashes that a likelier segment accounts for are not counted. After 30 s, doubled with each further crash, the planning node lets one request through. The outcome Closed tells a closed connection from one that went silent.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -9,6 +9,7 @@
 use balsam_types::ModelName;
 use balsam_types::OrganisationName;
 use balsam_types::PoolName;
+use balsam_types::SegmentName;
 use balsam_types::VmName;
 
 use crate::configuration::Configuration;
@@ -17,6 +18,8 @@
 use crate::lease::LastHolder;
 use crate::operators::OperatorsReport;
 use crate::operators::OperatorsUpdate;
+use crate::quarantine::Blamed;
+use crate::quarantine::SegmentEvidence;
 
 /// Identifies one attempt of a request within this node.
 pub type AttemptId = u64;
@@ -34,6 +37,8 @@
     Arrive(Arrival),
     /// The first event of an answer arrived, so the prompt has been read.
     Started(AttemptId),
+    /// The second event of an answer arrived, so the endpoint has survived its beginning.
+    Continued(AttemptId),
     /// An attempt ended, or the caller of a waiting request left.
     Ended {
         /// The attempt.
@@ -131,6 +136,8 @@
     pub model: Option<ModelName>,
     /// The caller's organisation, if known.
     pub organisation: Option<OrganisationName>,
+    /// The segments of the prompt that other requests may share.
+    pub segments: Arc<[SegmentName]>,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Expected number of tokens in the answer.
@@ -183,6 +190,8 @@
     NoBudget,
     /// The deadline has passed.
     Deadline,
+    /// Prompts with the same segment crashed endpoints.
+    Quarantined,
 }
 
 impl RefuseReason {
@@ -193,6 +202,7 @@
             Self::Overloaded => "overloaded",
             Self::NoBudget => "no_retry_budget",
             Self::Deadline => "deadline",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -211,7 +221,9 @@
     Misdirected,
     /// No connection could be opened.
     Unreachable,
-    /// The connection broke or went silent.
+    /// The endpoint closed or reset the connection before the end of its answer, as a crash does.
+    Closed,
+    /// The connection went silent, or the attempt was abandoned with its group.
     Broken,
     /// The endpoint sent bytes that are not a valid answer to the request.
     Faulty,
@@ -258,6 +270,8 @@
     pub lost: Vec<LostGroup>,
     /// What the node knows of the operators' orders.
     pub operators: OperatorsReport,
+    /// What the node knows of prompt segments that may crash endpoints.
+    pub segments: Vec<SegmentEvidence>,
 }
 
 /// A request that was just sent to an endpoint.
@@ -489,6 +503,13 @@
         /// How long it wants no requests.
         pause_ms: u64,
     },
+    /// Requests with a prompt segment are refused from now on.
+    SegmentQuarantined(Blamed),
+    /// Requests with a prompt segment are sent again.
+    SegmentReleased {
+        /// The segment.
+        segment: SegmentName,
+    },
     /// Several endpoints of another data centre cannot be reached, so it is not used for a while.
     DataCentreCut {
         /// The data centre.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pauses;
 pub mod placement;
 pub mod planner;
+pub mod quarantine;
 pub mod reachability;
 mod reduce;
 mod servability;
--- /dev/null
+++ b/crates/fleet/src/quarantine.rs
@@ -0,0 +1,438 @@
+//! Quarantine of prompt segments that crash the endpoints that begin to answer them.
+//!
+//! A crash ends every answer of an endpoint, so one crash does not show which request caused it.
+//! The suspects are the requests whose answer had not begun. Nodes exchange this evidence, as the
+//! next request with the same segment arrives at another node. A segment is blamed for crashes at
+//! different times, and an answer to any prompt with it acquits it. See
+//! `docs/decisions/0009-quarantine.md`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use balsam_types::SegmentName;
+use balsam_types::VmName;
+
+use crate::event::AttemptId;
+
+/// Number of crashes after which requests with a segment are refused.
+const MIN_CRASHES: usize = 3;
+
+/// Number of crashes after which a request with a segment is not sent again by the node itself: its
+/// own first attempt accounts for one of them.
+const MIN_CRASHES_FOR_RETRY: usize = 2;
+
+/// Crashes within this time count as one: a power failure or a network cut hits many endpoints at
+/// the same moment, whatever they run.
+const CORRELATED_MS: u64 = 100;
+
+/// Reports of a crash of the same endpoint within this time are about the same crash. An endpoint
+/// takes longer to restart and to serve in a group again.
+const SAME_CRASH_MS: u64 = 1_500;
+
+/// An endpoint may still run a cancelled request for this long.
+const CANCELLED_RUN_MS: u64 = 1_000;
+
+/// Time after the last crash in which every request with the segment is refused. It doubles with
+/// each crash of a trial.
+const QUARANTINE_MS: u64 = 30_000;
+
+/// Maximum number of times that the quarantine doubles, so that it ends before `BLAMED_TTL_MS`.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Time after which the evidence on a segment with several crashes is forgotten.
+const BLAMED_TTL_MS: u64 = 3_600_000;
+
+/// Time after which a single crash is forgotten: most suspects were running beside its cause.
+const SUSPECT_TTL_MS: u64 = 60_000;
+
+/// How long an answer acquits its segments of reported crashes that happened before it.
+const ANSWERED_TTL_MS: u64 = 60_000;
+
+/// How long an acquittal is reported to other nodes.
+const ACQUITTAL_REPORT_MS: u64 = 5_000;
+
+/// Fraction of its lifetime for which evidence is reported. Nodes would otherwise return forgotten
+/// evidence to each other forever.
+const REPORTED_LIFETIME: f64 = 0.9;
+
+/// Interval between two removals of old evidence.
+const PRUNE_INTERVAL_MS: u64 = 1_000;
+
+/// Maximum number of suspects; those with the fewest and oldest crashes are dropped first.
+const MAX_SUSPECTS: usize = 256;
+
+/// Maximum number of crashes kept for a suspect.
+const MAX_CRASHES: usize = 16;
+
+/// Maximum number of suspects in a report, which must fit a datagram.
+const MAX_REPORTED_SUSPECTS: usize = 16;
+
+/// Maximum number of crashes per suspect in a report; as many as justify a quarantine, and one
+/// more.
+const MAX_REPORTED_CRASHES: usize = MIN_CRASHES + 1;
+
+/// Evidence on a segment, as exchanged between nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SegmentEvidence {
+    /// The segment.
+    pub segment: SegmentName,
+    /// The time since a prompt with it was answered, if that acquits it.
+    pub answered_age_ms: Option<u64>,
+    /// The crashes that it may have caused.
+    pub crashes: Vec<CrashEvidence>,
+}
+
+/// A crash that a segment may have caused, as exchanged between nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// The endpoint that crashed.
+    pub vm: VmName,
+    /// The time since the crash.
+    pub age_ms: u64,
+    /// The other segments of the suspected requests.
+    pub companions: Vec<SegmentName>,
+}
+
+/// A crash of an endpoint, with the other segments of the suspected requests.
+#[derive(Debug, Clone)]
+struct Crash {
+    vm: VmName,
+    at_ms: u64,
+    companions: BTreeSet<SegmentName>,
+}
+
+impl Crash {
+    fn is_same(&self, vm: &VmName, at_ms: u64) -> bool {
+        self.vm == *vm && self.at_ms.abs_diff(at_ms) < SAME_CRASH_MS
+    }
+}
+
+/// A segment of which no prompt was answered since the first of its crashes.
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    /// The crashes, the oldest first.
+    crashes: Vec<Crash>,
+    /// The request that was let through to find out whether the segment still crashes endpoints.
+    trial: Option<(AttemptId, u64)>,
+}
+
+impl Suspect {
+    fn last_crash_ms(&self) -> u64 {
+        self.crashes.last().map_or(0, |crash| crash.at_ms)
+    }
+
+    fn ttl_ms(&self) -> u64 {
+        if self.crashes.len() > 1 { BLAMED_TTL_MS } else { SUSPECT_TTL_MS }
+    }
+
+    /// Adds a crash, or what another report says of a known one.
+    fn add(&mut self, crash: Crash) {
+        if let Some(known) = self.crashes.iter_mut().find(|c| c.is_same(&crash.vm, crash.at_ms)) {
+            known.at_ms = known.at_ms.min(crash.at_ms);
+            // Either request may be the cause, so all of their segments stay in question.
+            known.companions.extend(crash.companions);
+            return;
+        }
+        let index = self.crashes.partition_point(|known| known.at_ms <= crash.at_ms);
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+    }
+
+    /// Returns the segments that occurred along with this one in every crash.
+    fn inseparable(&self) -> BTreeSet<SegmentName> {
+        let mut crashes = self.crashes.iter();
+        let first = crashes.next().map(|crash| crash.companions.clone()).unwrap_or_default();
+        crashes.fold(first, |common, crash| &common & &crash.companions)
+    }
+}
+
+/// A request that was sent and whose caller left before its answer began.
+#[derive(Debug, Clone)]
+struct Cancelled {
+    vm: VmName,
+    at_ms: u64,
+    segments: Vec<SegmentName>,
+}
+
+/// A segment whose requests are refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Blamed {
+    /// The segment.
+    pub segment: SegmentName,
+    /// Segments that could not be told apart from it; only requests with all of them are refused.
+    pub inseparable: Vec<SegmentName>,
+    /// The endpoints that crashed.
+    pub endpoints: Vec<VmName>,
+}
+
+/// Why a request must not be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Block {
+    /// How long requests with the segment are refused.
+    pub left_ms: u64,
+}
+
+/// The evidence on prompt segments, from this node's attempts and other nodes' reports.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    suspects: BTreeMap<SegmentName, Suspect>,
+    /// When a prompt with a segment was last answered.
+    answered: HashMap<SegmentName, u64>,
+    /// Segments whose acquittal other nodes may not know of yet, with the time of the acquittal.
+    acquitted: BTreeMap<SegmentName, u64>,
+    cancelled: Vec<Cancelled>,
+    /// Segments that are quarantined, according to the last update.
+    active: BTreeSet<SegmentName>,
+    pruned_ms: u64,
+}
+
+impl Quarantine {
+    /// Records that an endpoint answered a prompt with these segments without a crash.
+    pub(crate) fn answered(&mut self, now_ms: u64, segments: &[SegmentName]) {
+        for segment in segments {
+            self.acquit(now_ms, segment, now_ms);
+        }
+    }
+
+    /// Records that an endpoint crashed before it had begun to answer a prompt with these segments.
+    pub(crate) fn crashed(&mut self, now_ms: u64, vm: &VmName, segments: &[SegmentName]) {
+        self.suspect(now_ms, vm, now_ms, segments);
+        self.suspect_cancelled(now_ms, vm, now_ms);
+    }
+
+    /// Records that the caller of a request left before its answer began.
+    pub(crate) fn cancelled(&mut self, now_ms: u64, vm: &VmName, segments: &[SegmentName]) {
+        if !segments.is_empty() {
+            let segments = segments.to_vec();
+            self.cancelled.push(Cancelled { vm: vm.clone(), at_ms: now_ms, segments });
+        }
+    }
+
+    /// Suspects the requests that an endpoint may still have been running at its crash.
+    fn suspect_cancelled(&mut self, now_ms: u64, vm: &VmName, crashed_ms: u64) {
+        let was_running = |cancelled: &mut Cancelled| {
+            let run_ms = cancelled.at_ms..cancelled.at_ms + CANCELLED_RUN_MS;
+            cancelled.vm == *vm && run_ms.contains(&crashed_ms)
+        };
+        let suspected: Vec<Cancelled> = self.cancelled.extract_if(.., was_running).collect();
+        for cancelled in suspected {
+            self.suspect(now_ms, vm, crashed_ms, &cancelled.segments);
+        }
+    }
+
+    fn suspect(&mut self, now_ms: u64, vm: &VmName, at_ms: u64, segments: &[SegmentName]) {
+        for segment in segments {
+            let others = segments.iter().filter(|other| *other != segment);
+            let companions = others.cloned().collect();
+            self.add_crash(now_ms, segment, Crash { vm: vm.clone(), at_ms, companions });
+        }
+    }
+
+    fn add_crash(&mut self, now_ms: u64, segment: &SegmentName, mut crash: Crash) {
+        if self.is_answered_since(segment, crash.at_ms) {
+            // The node that reports the crash does not know of the answer.
+            self.acquitted.insert(segment.clone(), now_ms);
+            return;
+        }
+        let answered = &self.answered;
+        crash.companions.retain(|other| answered.get(other).is_none_or(|ms| *ms < crash.at_ms));
+        self.suspects.entry(segment.clone()).or_default().add(crash);
+        if self.suspects.len() > MAX_SUSPECTS {
+            let rank = |suspect: &Suspect| (suspect.crashes.len(), suspect.last_crash_ms());
+            let least = self.suspects.iter().min_by_key(|(_, suspect)| rank(suspect));
+            if let Some(segment) = least.map(|(segment, _)| segment.clone()) {
+                self.suspects.remove(&segment);
+            }
+        }
+    }
+
+    fn is_answered_since(&self, segment: &SegmentName, at_ms: u64) -> bool {
+        self.answered.get(segment).is_some_and(|answered_ms| *answered_ms >= at_ms)
+    }
+
+    /// Clears a segment of the crashes before an answer to a prompt with it.
+    fn acquit(&mut self, now_ms: u64, segment: &SegmentName, answered_ms: u64) {
+        match self.answered.get_mut(segment) {
+            Some(known_ms) => *known_ms = answered_ms.max(*known_ms),
+            None => _ = self.answered.insert(segment.clone(), answered_ms),
+        }
+        for suspect in self.suspects.values_mut() {
+            let earlier = suspect.crashes.iter_mut().filter(|crash| crash.at_ms <= answered_ms);
+            earlier.for_each(|crash| _ = crash.companions.remove(segment));
+        }
+        if let Some(suspect) = self.suspects.get_mut(segment) {
+            suspect.crashes.retain(|crash| crash.at_ms > answered_ms);
+            self.acquitted.insert(segment.clone(), now_ms);
+            if suspect.crashes.is_empty() {
+                self.suspects.remove(segment);
+            }
+        }
+    }
+
+    /// Applies the evidence of another node.
+    pub(crate) fn apply_report(&mut self, now_ms: u64, report: &[SegmentEvidence]) {
+        for evidence in report {
+            if let Some(age_ms) = evidence.answered_age_ms {
+                self.acquit(now_ms, &evidence.segment, now_ms.saturating_sub(age_ms));
+            }
+        }
+        for evidence in report {
+            for CrashEvidence { vm, age_ms, companions } in &evidence.crashes {
+                let at_ms = now_ms.saturating_sub(*age_ms);
+                self.suspect_cancelled(now_ms, vm, at_ms);
+                let companions = companions.iter().cloned().collect();
+                let crash = Crash { vm: vm.clone(), at_ms, companions };
+                self.add_crash(now_ms, &evidence.segment, crash);
+            }
+        }
+    }
+
+    /// Returns the evidence to report to other nodes, that on the most suspected segments first.
+    pub(crate) fn report(&self, now_ms: u64) -> Vec<SegmentEvidence> {
+        let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
+        let is_reported = |suspect: &Suspect| {
+            age_ms(suspect.last_crash_ms()) as f64 <= suspect.ttl_ms() as f64 * REPORTED_LIFETIME
+        };
+        let mut suspects: Vec<_> =
+            self.suspects.iter().filter(|(_, suspect)| is_reported(suspect)).collect();
+        suspects.sort_by_key(|(_, s)| std::cmp::Reverse((s.crashes.len(), s.last_crash_ms())));
+        let evidence = |(segment, suspect): (&SegmentName, &Suspect)| {
+            let newest = suspect.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
+            let crashes = newest.map(|crash| CrashEvidence {
+                vm: crash.vm.clone(),
+                age_ms: age_ms(crash.at_ms),
+                companions: crash.companions.iter().cloned().collect(),
+            });
+            let (segment, crashes) = (segment.clone(), crashes.collect());
+            SegmentEvidence { segment, answered_age_ms: None, crashes }
+        };
+        let acquitted = self.acquitted.keys().filter_map(|segment| {
+            let answered_age_ms = Some(age_ms(*self.answered.get(segment)?));
+            Some(SegmentEvidence { segment: segment.clone(), answered_age_ms, crashes: Vec::new() })
+        });
+        let suspects = suspects.into_iter().take(MAX_REPORTED_SUSPECTS).map(evidence);
+        suspects.chain(acquitted.take(MAX_REPORTED_SUSPECTS)).collect()
+    }
+
+    /// Returns the number of crashes at different times that a segment may have caused and that no
+    /// other segment accounts for.
+    fn unexplained_crashes(&self, segment: &SegmentName, suspect: &Suspect) -> usize {
+        let inseparable = suspect.inseparable();
+        // A segment with more crashes is the likelier cause of those that both were part of.
+        let likelier: Vec<&Suspect> = self
+            .suspects
+            .iter()
+            .filter(|(other, other_suspect)| {
+                *other != segment
+                    && !inseparable.contains(*other)
+                    && other_suspect.crashes.len() > suspect.crashes.len()
+            })
+            .map(|(_, other_suspect)| other_suspect)
+            .collect();
+        let is_explained = |crash: &Crash| {
+            likelier.iter().any(|s| s.crashes.iter().any(|c| c.is_same(&crash.vm, crash.at_ms)))
+        };
+        let mut count = 0;
+        let mut last_ms = None;
+        for crash in suspect.crashes.iter().filter(|crash| !is_explained(crash)) {
+            if last_ms.is_none_or(|last_ms| crash.at_ms >= last_ms + CORRELATED_MS) {
+                count += 1;
+                last_ms = Some(crash.at_ms);
+            }
+        }
+        count
+    }
+
+    /// Returns the suspect that forbids a request with these segments, and its crashes.
+    fn blocking(
+        &self,
+        segments: &[SegmentName],
+        min_crashes: usize,
+    ) -> Option<(SegmentName, usize)> {
+        segments.iter().find_map(|segment| {
+            let suspect = self.suspects.get(segment)?;
+            if suspect.crashes.len() < min_crashes {
+                return None;
+            }
+            let crashes = self.unexplained_crashes(segment, suspect);
+            let has_all = suspect.inseparable().iter().all(|other| segments.contains(other));
+            (crashes >= min_crashes && has_all).then(|| (segment.clone(), crashes))
+        })
+    }
+
+    /// Returns whether a request must be refused. When the quarantine is over, one request at a
+    /// time may pass as a trial, at the one node with `may_try`.
+    pub(crate) fn check(
+        &mut self,
+        now_ms: u64,
+        attempt_id: AttemptId,
+        segments: &[SegmentName],
+        is_retry: bool,
+        may_try: bool,
+    ) -> Option<Block> {
+        let min_crashes = if is_retry { MIN_CRASHES_FOR_RETRY } else { MIN_CRASHES };
+        let (segment, crashes) = self.blocking(segments, min_crashes)?;
+        let suspect = self.suspects.get_mut(&segment)?;
+        if suspect.trial.is_some_and(|(trial_id, _)| trial_id == attempt_id) {
+            return None;
+        }
+        let doublings = (crashes.saturating_sub(MIN_CRASHES) as u32).min(MAX_DOUBLINGS);
+        let quarantine_ms = QUARANTINE_MS << doublings;
+        let until_ms = suspect.last_crash_ms() + quarantine_ms;
+        let is_trial_due = now_ms >= until_ms
+            && suspect.trial.is_none_or(|(_, since_ms)| now_ms >= since_ms + QUARANTINE_MS);
+        if is_trial_due && may_try && !is_retry {
+            suspect.trial = Some((attempt_id, now_ms));
+            return None;
+        }
+        Some(Block { left_ms: until_ms.saturating_sub(now_ms) })
+    }
+
+    /// Whether a request that was accepted earlier must not run any more.
+    pub(crate) fn forbids(&self, attempt_id: AttemptId, segments: &[SegmentName]) -> bool {
+        self.blocking(segments, MIN_CRASHES).is_some_and(|(segment, _)| {
+            let trial = self.suspects.get(&segment).and_then(|suspect| suspect.trial);
+            trial.is_none_or(|(trial_id, _)| trial_id != attempt_id)
+        })
+    }
+
+    /// Whether any segment is quarantined.
+    pub(crate) fn is_active(&self) -> bool {
+        !self.active.is_empty()
+    }
+
+    fn prune(&mut self, now_ms: u64) {
+        self.pruned_ms = now_ms;
+        self.cancelled.retain(|cancelled| now_ms < cancelled.at_ms + CANCELLED_RUN_MS);
+        self.answered.retain(|_, at_ms| now_ms < *at_ms + ANSWERED_TTL_MS);
+        self.acquitted.retain(|_, at_ms| now_ms < *at_ms + ACQUITTAL_REPORT_MS);
+        self.suspects.retain(|_, s| now_ms < s.last_crash_ms() + s.ttl_ms());
+    }
+
+    /// Removes old evidence; returns the segments that were quarantined and released since the last
+    /// update.
+    pub(crate) fn update(&mut self, now_ms: u64) -> (Vec<Blamed>, Vec<SegmentName>) {
+        if now_ms >= self.pruned_ms + PRUNE_INTERVAL_MS {
+            self.prune(now_ms);
+        }
+        let blamed: Vec<Blamed> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.crashes.len() >= MIN_CRASHES)
+            .filter(|(segment, suspect)| self.unexplained_crashes(segment, suspect) >= MIN_CRASHES)
+            .map(|(segment, suspect)| Blamed {
+                segment: segment.clone(),
+                inseparable: suspect.inseparable().into_iter().collect(),
+                endpoints: suspect.crashes.iter().map(|crash| crash.vm.clone()).collect(),
+            })
+            .collect();
+        let active: BTreeSet<SegmentName> = blamed.iter().map(|b| b.segment.clone()).collect();
+        let before = std::mem::replace(&mut self.active, active);
+        let released = before.difference(&self.active).cloned().collect();
+        let new = blamed.into_iter().filter(|blamed| !before.contains(&blamed.segment)).collect();
+        (new, released)
+    }
+}
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -24,6 +24,7 @@
 use crate::event::LeaseEvent;
 use crate::event::OrderAnswer;
 use crate::event::PeerReport;
+use crate::event::Refusal;
 use crate::event::RefuseReason;
 use crate::event::Scope;
 use crate::event::Target;
@@ -35,6 +36,7 @@
 use crate::serving::RequestKind;
 use crate::serving::Server;
 use crate::serving::Serving;
+use crate::state::Dispatched;
 use crate::state::Fleet;
 use crate::state::Peer;
 use crate::state::hash_rank;
@@ -58,6 +60,12 @@
                 heard_from(fleet, now_ms, &vm);
             }
         }
+        Event::Continued(attempt_id) => {
+            if let Some(dispatched) = fleet.dispatched.get_mut(&attempt_id) {
+                dispatched.has_continued = true;
+                fleet.quarantine.answered(now_ms, &dispatched.arrival.segments);
+            }
+        }
         Event::Ended { attempt_id, outcome } => {
             end_attempt(fleet, now_ms, attempt_id, outcome, &mut effects)
         }
@@ -235,6 +243,10 @@
         effects.push(refuse(RefuseReason::Deadline, 0));
         return;
     }
+    if let Some(refusal) = check_quarantine(fleet, now_ms, &arrival) {
+        effects.push(Effect::Refuse { attempt_id, refusal });
+        return;
+    }
     if arrival.is_retry {
         let budget = fleet.budget(now_ms, &arrival.pool);
         if !budget.has_room(now_ms) {
@@ -273,6 +285,32 @@
     serve_waiting(fleet, now_ms, &kind, effects);
 }
 
+/// Returns the refusal of a request whose prompt is likely to crash the endpoint.
+fn check_quarantine(fleet: &mut Fleet, now_ms: u64, arrival: &Arrival) -> Option<Refusal> {
+    // The caller of a partial answer loses it if a mere suspicion keeps it from being continued.
+    let is_retry = arrival.is_retry && !arrival.has_partial_answer;
+    // The planning node is the only one of its kind, so one trial runs at a time.
+    let may_try = fleet.planner.holds_lease(now_ms);
+    let (attempt_id, segments) = (arrival.attempt_id, &arrival.segments);
+    let block = fleet.quarantine.check(now_ms, attempt_id, segments, is_retry, may_try)?;
+    Some(Refusal { reason: RefuseReason::Quarantined, retry_after_ms: block.left_ms })
+}
+
+/// Refuses a queued request if its prompt is quarantined; returns whether it did.
+fn refuse_quarantined(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    kind: &RequestKind,
+    arrival: &Arrival,
+    effects: &mut Vec<Effect>,
+) -> bool {
+    let Some(refusal) = check_quarantine(fleet, now_ms, arrival) else { return false };
+    let attempt_id = arrival.attempt_id;
+    fleet.waiting.remove(kind, attempt_id);
+    effects.push(Effect::Refuse { attempt_id, refusal });
+    true
+}
+
 fn count_demand(fleet: &mut Fleet, now_ms: u64, arrival: &Arrival) {
     let Some(name) = &arrival.model else { return };
     let Some((_, engine)) = fleet.engine_pool() else { return };
@@ -300,7 +338,8 @@
         // Silence is measured from the first request, not from the last event before it.
         progress_ms.store(now_ms, Ordering::Relaxed);
     }
-    fleet.dispatched.insert(attempt_id, (kind.clone(), arrival));
+    let dispatched = Dispatched { kind: kind.clone(), arrival, has_continued: false };
+    fleet.dispatched.insert(attempt_id, dispatched);
     let target = Target { vm: server.vm.clone(), address: server.address, progress_ms };
     effects.push(Effect::Dispatch { attempt_id, target, prompt_tokens });
 }
@@ -308,6 +347,9 @@
 /// Dispatches queued requests while there is capacity.
 fn serve_waiting(fleet: &mut Fleet, now_ms: u64, kind: &RequestKind, effects: &mut Vec<Effect>) {
     while let Some(arrival) = fleet.waiting.next(now_ms, kind).cloned() {
+        if refuse_quarantined(fleet, now_ms, kind, &arrival, effects) {
+            continue;
+        }
         let Some(server) = choose(fleet, now_ms, kind, &arrival) else {
             return;
         };
@@ -328,7 +370,9 @@
         return;
     };
     update_reachability(fleet, now_ms, &running.vm, outcome, effects);
-    let Some((kind, _)) = fleet.dispatched.remove(&attempt_id) else { return };
+    let Some(dispatched) = fleet.dispatched.remove(&attempt_id) else { return };
+    record_evidence(fleet, now_ms, &running.vm, &dispatched, outcome);
+    let kind = dispatched.kind;
     if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
         heard_from(fleet, now_ms, &running.vm);
         fleet.budget(now_ms, &kind.pool).record_success(now_ms);
@@ -337,6 +381,24 @@
     serve_waiting(fleet, now_ms, &kind, effects);
 }
 
+/// Records what the end of an attempt tells of the segments of its prompt.
+fn record_evidence(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    vm: &VmName,
+    dispatched: &Dispatched,
+    outcome: AttemptOutcome,
+) {
+    let segments = &dispatched.arrival.segments;
+    match outcome {
+        AttemptOutcome::Answered => fleet.quarantine.answered(now_ms, segments),
+        _ if dispatched.has_continued => {}
+        AttemptOutcome::Closed => fleet.quarantine.crashed(now_ms, vm, segments),
+        AttemptOutcome::Cancelled => fleet.quarantine.cancelled(now_ms, vm, segments),
+        _ => {}
+    }
+}
+
 /// Updates the reachability of an endpoint's data centre from the result of an attempt.
 fn update_reachability(
     fleet: &mut Fleet,
@@ -362,7 +424,10 @@
         | AttemptOutcome::Misdirected => {
             fleet.reachability.answered(data_centre);
         }
-        AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::Cancelled => {}
+        AttemptOutcome::Unreachable
+        | AttemptOutcome::Closed
+        | AttemptOutcome::Broken
+        | AttemptOutcome::Cancelled => {}
     }
 }
 
@@ -377,6 +442,7 @@
     let is_direct = report.scope == Scope::Node;
     let changes = fleet.operators.apply_report(now_ms, &report.operators, is_direct);
     effects.extend(evacuation_decisions(changes, unconfirmed_ms, Some(&report.node)));
+    fleet.quarantine.apply_report(now_ms, &report.segments);
     for lost in &report.lost {
         losses::apply_lost_report(fleet, now_ms, &report.node, lost, effects);
     }
@@ -418,6 +484,7 @@
     refill_cold_allowances(fleet, now_ms);
     fleet.pauses.expire(now_ms);
     losses::detect_silent_heads(fleet, now_ms, effects);
+    enforce_quarantine(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
         serve_waiting(fleet, now_ms, &kind, effects);
     }
@@ -432,6 +499,33 @@
     plan(fleet, now_ms, effects);
 }
 
+/// Withdraws requests that were accepted before their segments were quarantined.
+fn enforce_quarantine(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    let (quarantined, released) = fleet.quarantine.update(now_ms);
+    effects.extend(
+        quarantined.into_iter().map(|b| Effect::LogDecision(Decision::SegmentQuarantined(b))),
+    );
+    let released = released.into_iter().map(|segment| Decision::SegmentReleased { segment });
+    effects.extend(released.map(Effect::LogDecision));
+    if !fleet.quarantine.is_active() {
+        return;
+    }
+    let Fleet { dispatched, quarantine, .. } = &*fleet;
+    let endangering = dispatched.iter().filter(|(attempt_id, dispatched)| {
+        !dispatched.has_continued && quarantine.forbids(**attempt_id, &dispatched.arrival.segments)
+    });
+    effects.extend(endangering.map(|(id, _)| Effect::Abandon { attempt_id: *id }));
+    for kind in fleet.waiting.kinds() {
+        let is_forbidden =
+            |arrival: &&Arrival| fleet.quarantine.forbids(arrival.attempt_id, &arrival.segments);
+        let forbidden: Vec<Arrival> =
+            fleet.waiting.of(&kind).filter(is_forbidden).cloned().collect();
+        for arrival in forbidden {
+            refuse_quarantined(fleet, now_ms, &kind, &arrival, effects);
+        }
+    }
+}
+
 /// Refuses the queued requests of a kind that can no longer be served in time.
 fn refuse_unservable(
     fleet: &mut Fleet,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -29,6 +29,7 @@
 use crate::operators::Watch;
 use crate::pauses::Pauses;
 use crate::planner::Planner;
+use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
 use crate::serving::RequestKind;
 use crate::serving::Serving;
@@ -148,6 +149,8 @@
     pub reachability: Reachability,
     /// Groups that are suspected or known to be lost.
     pub suspicions: Suspicions,
+    /// Prompt segments that crash endpoints.
+    pub quarantine: Quarantine,
     /// The planner lease.
     pub lease: Lease,
     /// Forms and ends groups by orders to endpoints.
@@ -155,7 +158,16 @@
     pub(crate) budgets: BTreeMap<PoolName, RetryBudget>,
     pub(crate) peers: BTreeMap<Arc<str>, Peer>,
     pub(crate) store_lost_ms: Option<u64>,
-    pub(crate) dispatched: BTreeMap<AttemptId, (RequestKind, Arrival)>,
+    pub(crate) dispatched: BTreeMap<AttemptId, Dispatched>,
+}
+
+/// A request that was sent to an endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Dispatched {
+    pub kind: RequestKind,
+    pub arrival: Arrival,
+    /// Whether the endpoint has survived the beginning of the answer.
+    pub has_continued: bool,
 }
 
 impl Fleet {
@@ -173,6 +185,7 @@
             demand: Demand::default(),
             reachability: Reachability::default(),
             suspicions: Suspicions::default(),
+            quarantine: Quarantine::default(),
             lease: Lease::new(LEASE_TTL_MS, LEASE_RENEW_MS),
             planner: Planner::default(),
             budgets: BTreeMap::new(),
@@ -278,6 +291,7 @@
             demand: self.demand.own(now_ms),
             lost: self.suspicions.lost(now_ms).collect(),
             operators: self.operators.report(now_ms),
+            segments: self.quarantine.report(now_ms),
         }
     }
 
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -44,6 +44,7 @@
         demand: Vec::new(),
         lost: Vec::new(),
         operators: OperatorsReport::default(),
+        segments: Vec::new(),
     }
 }
 
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod load;
 mod operators;
+mod quarantine;
 mod simulation;
 mod support;
 mod waiting;
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -138,6 +138,7 @@
         pool: PoolName::try_from(POOL).unwrap(),
         model: Some(model(LARGE)),
         organisation: None,
+        segments: Arc::default(),
         prompt_tokens: 1_400,
         answer_tokens: 170,
         priority: 1,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -29,7 +29,10 @@
     NotSent(String),
     /// The endpoint reported that it did not run the request.
     TurnedAway(StatusCode),
-    /// The exchange failed after sending began, so the request may have run.
+    /// The endpoint closed or reset the connection after sending began, so the request may have
+    /// run.
+    Closed(String),
+    /// The exchange failed in another way after sending began, so the request may have run.
     Broken(String),
     /// The request may have run, but the endpoint's answer is invalid.
     Faulty(String),
@@ -44,6 +47,7 @@
             Self::NotSent(_) => AttemptOutcome::Unreachable,
             Self::TurnedAway(StatusCode::MISDIRECTED_REQUEST) => AttemptOutcome::Misdirected,
             Self::TurnedAway(_) => AttemptOutcome::TurnedAway,
+            Self::Closed(_) => AttemptOutcome::Closed,
             Self::Broken(_) | Self::Abandoned => AttemptOutcome::Broken,
             Self::Faulty(_) => AttemptOutcome::Faulty,
         }
@@ -54,6 +58,7 @@
         match self {
             Self::NotSent(_) => "not_sent",
             Self::TurnedAway(_) => "turned_away",
+            Self::Closed(_) => "closed",
             Self::Broken(_) => "broken",
             Self::Faulty(_) => "faulty",
             Self::Abandoned => "group_lost",
@@ -84,9 +89,10 @@
             AttemptFailure::NotSent(_) => self.not_sent += 1,
             AttemptFailure::TurnedAway(_) => self.turned_away += 1,
             // The endpoint may have started the request, even if its group was lost later.
-            AttemptFailure::Broken(_) | AttemptFailure::Faulty(_) | AttemptFailure::Abandoned => {
-                self.count_possible_run();
-            }
+            AttemptFailure::Closed(_)
+            | AttemptFailure::Broken(_)
+            | AttemptFailure::Faulty(_)
+            | AttemptFailure::Abandoned => self.count_possible_run(),
         }
     }
 
@@ -156,7 +162,7 @@
     let (conn, response) = sent.map_err(|error| match error {
         SendError::NotWritten(cause) | SendError::Refused(cause) => AttemptFailure::NotSent(cause),
         SendError::NotAllowed => AttemptFailure::NotSent("sending was not allowed".to_owned()),
-        SendError::Written(cause) => AttemptFailure::Broken(cause),
+        SendError::Written(cause) => AttemptFailure::Closed(cause),
         SendError::Malformed(cause) => AttemptFailure::Faulty(cause),
         SendError::TimedOut => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
@@ -188,10 +194,10 @@
     (seconds.is_finite() && seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
 }
 
-/// Classifies an error while reading a body: invalid data is faulty, a lost connection is broken.
+/// Classifies an error while reading a body: invalid data is faulty, a lost connection is closed.
 pub(crate) fn body_read_failure(error: &hyper::Error) -> AttemptFailure {
     let cause = format!("the answer was cut off: {error}");
-    if error.is_parse() { AttemptFailure::Faulty(cause) } else { AttemptFailure::Broken(cause) }
+    if error.is_parse() { AttemptFailure::Faulty(cause) } else { AttemptFailure::Closed(cause) }
 }
 
 /// Rejects an answer that does not come from the intended endpoint or belongs to another request.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 
 use balsam_fleet::event::Decision;
+use balsam_fleet::quarantine::Blamed;
 use slog::Logger;
 use slog::info;
 
@@ -101,6 +102,15 @@
             info!(log, "endpoint requested a pause"; "kind" => kind, "vm" => %vm,
                 "pause_ms" => pause_ms, "dropped_lines" => dropped);
         }
+        Decision::SegmentQuarantined(Blamed { segment, inseparable, endpoints }) => {
+            info!(log, "prompt segment is quarantined"; "kind" => kind, "segment" => %segment,
+                "inseparable" => ?inseparable, "crashed_endpoints" => ?endpoints,
+                "dropped_lines" => dropped);
+        }
+        Decision::SegmentReleased { segment } => {
+            info!(log, "prompt segment is released"; "kind" => kind, "segment" => %segment,
+                "dropped_lines" => dropped);
+        }
         Decision::DataCentreCut { data_centre } => {
             info!(log, "data centre cannot be reached"; "kind" => kind,
                 "data_centre" => %data_centre, "dropped_lines" => dropped);
@@ -131,6 +141,8 @@
         Decision::EndpointGone { .. } => "endpoint_gone",
         Decision::EndpointLeaving { .. } => "endpoint_leaves",
         Decision::EndpointPaused { .. } => "endpoint_pauses",
+        Decision::SegmentQuarantined(_) => "segment_quarantined",
+        Decision::SegmentReleased { .. } => "segment_released",
         Decision::DataCentreCut { .. } => "data_centre_cut",
         Decision::Use { .. } => "use",
         Decision::Leading { .. } => "leading",
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -321,7 +321,8 @@
         });
         info!(self.hub.log, "no endpoint accepted the request"; "kind" => "refused",
             "request" => request.id_text(), "route" => %request.route.name,
-            "reason" => refusal.reason.as_str(), "retry_after_ms" => refusal.retry_after_ms,
+            "reason" => refusal.reason.as_str(), "segments" => ?request.work.shared_segments,
+            "retry_after_ms" => refusal.retry_after_ms,
             "age_ms" => now_ms - request.arrived_ms, "servers" => servers, "waiting" => waiting,
             "nodes" => nodes, "list_age_ms" => list_age_ms, "version" => version,
             "dropped_lines" => dropped);
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -83,22 +83,25 @@
     /// Notified when the attempt should be abandoned.
     pub abandoned: Arc<Notify>,
     has_ended: bool,
-    is_started: bool,
+    /// Number of events that arrived; more than two are not counted.
+    events: u8,
 }
 
 impl Placement {
     /// Records that an event of the answer arrived.
     pub fn progress(&mut self) {
         self.target.progress_ms.store(now_ms(), Ordering::Relaxed);
-        if !self.is_started {
-            self.is_started = true;
-            self.hub.apply(Event::Started(self.attempt_id));
+        self.events = (self.events + 1).min(3);
+        match self.events {
+            1 => self.hub.apply(Event::Started(self.attempt_id)),
+            2 => self.hub.apply(Event::Continued(self.attempt_id)),
+            _ => {}
         }
     }
 
     /// Whether an event of the answer arrived.
     pub fn is_started(&self) -> bool {
-        self.is_started
+        self.events > 0
     }
 
     /// Ends the attempt with this outcome.
@@ -213,14 +216,7 @@
         match result {
             Ok(Ok(target)) => {
                 let hub = self.clone();
-                Ok(Placement {
-                    hub,
-                    attempt_id,
-                    target,
-                    abandoned,
-                    has_ended: false,
-                    is_started: false,
-                })
+                Ok(Placement { hub, attempt_id, target, abandoned, has_ended: false, events: 0 })
             }
             Ok(Err(refusal)) => Err(refusal),
             Err(_) => {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -10,9 +10,12 @@
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
 use balsam_fleet::operators::OperatorsReport;
+use balsam_fleet::quarantine::CrashEvidence;
+use balsam_fleet::quarantine::SegmentEvidence;
 use balsam_types::DataCentreName;
 use balsam_types::GroupName;
 use balsam_types::ModelName;
+use balsam_types::SegmentName;
 use balsam_types::VmName;
 use prost::Message;
 
@@ -115,6 +118,30 @@
     summary: Option<Summary>,
     #[prost(message, optional, tag = "12")]
     operators: Option<Operators>,
+    #[prost(message, repeated, tag = "13")]
+    segments: Vec<Segment>,
+}
+
+/// Evidence on a prompt segment.
+#[derive(Clone, PartialEq, Message)]
+struct Segment {
+    #[prost(string, tag = "1")]
+    segment: String,
+    #[prost(uint64, optional, tag = "2")]
+    answered_age_ms: Option<u64>,
+    #[prost(message, repeated, tag = "3")]
+    crashes: Vec<Crash>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Crash {
+    #[prost(string, tag = "1")]
+    vm: String,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    /// The other segments of the suspected requests.
+    #[prost(string, repeated, tag = "3")]
+    companions: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -215,6 +242,7 @@
         known_node_count: *known_node_count,
         summary,
         operators: Some(encode_operators(&report.operators)),
+        segments: report.segments.iter().map(encode_segment).collect(),
     };
     Datagram { report: Some(report), ..Datagram::default() }.encode_to_vec()
 }
@@ -227,6 +255,19 @@
     }
 }
 
+fn encode_segment(evidence: &SegmentEvidence) -> Segment {
+    let crashes = evidence.crashes.iter().map(|crash| Crash {
+        vm: crash.vm.to_string(),
+        age_ms: crash.age_ms,
+        companions: crash.companions.iter().map(ToString::to_string).collect(),
+    });
+    Segment {
+        segment: evidence.segment.to_string(),
+        answered_age_ms: evidence.answered_age_ms,
+        crashes: crashes.collect(),
+    }
+}
+
 /// Encodes a list of nodes.
 pub(crate) fn encode_nodes(nodes: &[KnownNode]) -> Vec<u8> {
     let node = |known: &KnownNode| Node {
@@ -318,10 +359,27 @@
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
         lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
         operators: operators_from(report.operators.unwrap_or_default())?,
+        segments: report.segments.into_iter().map(segment_from).collect::<Option<_>>()?,
     };
     Some(ReportMessage { report, known_node_count, nodes })
 }
 
+fn segment_from(evidence: Segment) -> Option<SegmentEvidence> {
+    let crash = |crash: Crash| {
+        let companions = crash.companions.into_iter().map(|name| SegmentName::try_from(name).ok());
+        Some(CrashEvidence {
+            vm: VmName::try_from(crash.vm).ok()?,
+            age_ms: crash.age_ms,
+            companions: companions.collect::<Option<_>>()?,
+        })
+    };
+    Some(SegmentEvidence {
+        segment: SegmentName::try_from(evidence.segment).ok()?,
+        answered_age_ms: evidence.answered_age_ms,
+        crashes: evidence.crashes.into_iter().map(crash).collect::<Option<_>>()?,
+    })
+}
+
 fn operators_from(operators: Operators) -> Option<OperatorsReport> {
     let Operators { position, evacuated, read_age_ms } = operators;
     let evacuated = evacuated.into_iter().map(|name| DataCentreName::try_from(name).ok());
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -58,6 +58,7 @@
             pool: self.pool.clone(),
             model: self.work.model.clone(),
             organisation: self.organisation.as_ref().map(|o| o.name.clone()),
+            segments: self.work.shared_segments.clone(),
             prompt_tokens: self.work.prompt_tokens,
             answer_tokens: self.work.answer_tokens,
             priority: organisation_priority.unwrap_or(self.route.priority),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -345,7 +345,7 @@
                     }
                 }
                 ReadOutcome::End if upstream.splitter.pending_bytes() > 0 => {
-                    return Err(ReadFailure::broken("the answer ended in the middle of an event"));
+                    return Err(ReadFailure::closed("the answer ended in the middle of an event"));
                 }
                 ReadOutcome::End => {
                     self.complete();
@@ -433,6 +433,10 @@
 }
 
 impl ReadFailure {
+    fn closed(cause: &str) -> Self {
+        Self::Attempt(AttemptFailure::Closed(cause.to_owned()))
+    }
+
     fn broken(cause: &str) -> Self {
         Self::Attempt(AttemptFailure::Broken(cause.to_owned()))
     }
