Keep the evidence on crashing prompt segments in the store

Cause: the evidence lived in the memory of the nodes only. Change: the planning node writes the evidence on segments with several crashes to a keyed topic when it changes; each node reads the topic once at its start. Conclusion: fixed, but for evidence younger than 0.2 s.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -71,6 +71,8 @@
         /// Whether it answered in time.
         is_alive: bool,
     },
+    /// The evidence on prompt segments that the store keeps was read.
+    QuarantineRead(Vec<SegmentEvidence>),
     /// The store refused a call of this node or did not answer it.
     StoreLost,
     /// A call to the store about the planner lease ended.
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -141,6 +141,20 @@
         }
     }
 
+    fn evidence(&self, now_ms: u64, segment: &SegmentName) -> SegmentEvidence {
+        let newest = self.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
+        let crashes = newest.map(|crash| CrashEvidence {
+            vm: crash.vm.clone(),
+            age_ms: now_ms.saturating_sub(crash.at_ms),
+            companions: crash.companions.iter().cloned().collect(),
+        });
+        SegmentEvidence {
+            segment: segment.clone(),
+            answered_age_ms: None,
+            crashes: crashes.collect(),
+        }
+    }
+
     /// Returns the segments that occurred along with this one in every crash.
     fn inseparable(&self) -> BTreeSet<SegmentName> {
         let mut crashes = self.crashes.iter();
@@ -299,24 +313,21 @@
         let mut suspects: Vec<_> =
             self.suspects.iter().filter(|(_, suspect)| is_reported(suspect)).collect();
         suspects.sort_by_key(|(_, s)| std::cmp::Reverse((s.crashes.len(), s.last_crash_ms())));
-        let evidence = |(segment, suspect): (&SegmentName, &Suspect)| {
-            let newest = suspect.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
-            let crashes = newest.map(|crash| CrashEvidence {
-                vm: crash.vm.clone(),
-                age_ms: age_ms(crash.at_ms),
-                companions: crash.companions.iter().cloned().collect(),
-            });
-            let (segment, crashes) = (segment.clone(), crashes.collect());
-            SegmentEvidence { segment, answered_age_ms: None, crashes }
-        };
         let acquitted = self.acquitted.keys().filter_map(|segment| {
             let answered_age_ms = Some(age_ms(*self.answered.get(segment)?));
             Some(SegmentEvidence { segment: segment.clone(), answered_age_ms, crashes: Vec::new() })
         });
-        let suspects = suspects.into_iter().take(MAX_REPORTED_SUSPECTS).map(evidence);
+        let suspects = suspects.into_iter().take(MAX_REPORTED_SUSPECTS);
+        let suspects = suspects.map(|(segment, suspect)| suspect.evidence(now_ms, segment));
         suspects.chain(acquitted.take(MAX_REPORTED_SUSPECTS)).collect()
     }
 
+    /// Returns the evidence that must outlast all nodes: that on segments with several crashes.
+    pub fn lasting(&self, now_ms: u64) -> Vec<SegmentEvidence> {
+        let blamed = self.suspects.iter().filter(|(_, suspect)| suspect.crashes.len() > 1);
+        blamed.map(|(segment, suspect)| suspect.evidence(now_ms, segment)).collect()
+    }
+
     /// Returns the number of crashes at different times that a segment may have caused and that no
     /// other segment accounts for.
     fn unexplained_crashes(&self, segment: &SegmentName, suspect: &Suspect) -> usize {
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -84,6 +84,7 @@
         Event::Probed { vm, is_alive } => {
             losses::probed(fleet, now_ms, &vm, is_alive, &mut effects)
         }
+        Event::QuarantineRead(evidence) => fleet.quarantine.apply_report(now_ms, &evidence),
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(update) => apply_lease_event(fleet, now_ms, update, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
