Treat an unframed stream without events as broken off

What callers saw: an empty answer with status 200 that looked complete, if an endpoint whose answers have neither a length nor chunks ended before its first event. Cause: the end of the connection is the end of such an answer, and only one inside an event was taken for broken off. Change: an unframed stream that ends without an event counts as closed, so it is sent to another endpoint and is evidence of a crash. Result: an_unframed_stream_arrives_complete fails in the case ends_before_the_first_event before and passes after; complete streams, streams that end inside an event and plain answers passed before as well. Such a stream that is broken off between two events cannot be told from a complete one.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -72,6 +72,9 @@
     body: Incoming,
     placement: Placement,
     keep_alive: Duration,
+    /// Whether the answer states its end itself, by a length or chunks, rather than by the end of
+    /// the connection.
+    is_framed: bool,
     splitter: Splitter,
     /// Bytes since the last event with data.
     bytes_since_data: usize,
@@ -265,10 +268,18 @@
             let (mut head, body) = response.into_parts();
             let keep_alive =
                 attempt::keep_alive_duration(&head.headers, self.shared.options.endpoint_idle());
+            let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+                || head.headers.contains_key(header::TRANSFER_ENCODING);
             remove_hop_by_hop(&mut head.headers);
-            let splitter = Splitter::default();
-            let upstream =
-                Upstream { conn, body, placement, keep_alive, splitter, bytes_since_data: 0 };
+            let upstream = Upstream {
+                conn,
+                body,
+                placement,
+                keep_alive,
+                is_framed,
+                splitter: Splitter::default(),
+                bytes_since_data: 0,
+            };
             if head.status != StatusCode::OK {
                 match self.handle_other_answer(head.status, head.headers, upstream).await? {
                     Some(stream_error) => return Err(stream_error),
@@ -347,6 +358,10 @@
                 ReadOutcome::End if upstream.splitter.pending_bytes() > 0 => {
                     return Err(ReadFailure::closed("the answer ended in the middle of an event"));
                 }
+                // A crash before the first event looks like the end of an empty answer.
+                ReadOutcome::End if !upstream.is_framed && !upstream.placement.is_started() => {
+                    return Err(ReadFailure::closed("the answer ended before its first event"));
+                }
                 ReadOutcome::End => {
                     self.complete();
                     return Ok(None);
