Simulate nodes whose requests crash shared endpoints

Cause: the tests of the quarantine take one decision each; none covers lost reports, crashes at the same time and crashes with another cause together.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod operators;
 mod quarantine;
+mod quarantine_simulation;
 mod simulation;
 mod support;
 mod waiting;
