Withdraw crashes that turn out to be closed connections

Cause: a closed connection counted as a crash of its endpoint. Change: an answer that the endpoint begins, continues or ends between 0.1 and 1 s after the alleged crash refutes it; the node that sees it tells the others, and all withdraw the evidence.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -19,6 +19,7 @@
 use crate::operators::OperatorsReport;
 use crate::operators::OperatorsUpdate;
 use crate::quarantine::Blamed;
+use crate::quarantine::QuarantineReport;
 use crate::quarantine::SegmentEvidence;
 
 /// Identifies one attempt of a request within this node.
@@ -273,7 +274,7 @@
     /// What the node knows of the operators' orders.
     pub operators: OperatorsReport,
     /// What the node knows of prompt segments that may crash endpoints.
-    pub segments: Vec<SegmentEvidence>,
+    pub quarantine: QuarantineReport,
 }
 
 /// A request that was just sent to an endpoint.
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -30,6 +30,14 @@
 /// takes longer to restart and to serve in a group again.
 const SAME_CRASH_MS: u64 = 1_500;
 
+/// An answer that begins or ends this long after a reported crash shows that the endpoint only
+/// closed one connection. Earlier ones may have been under way at the crash.
+const SURVIVAL_MARGIN_MS: u64 = 100;
+
+/// An answer that begins or ends later than this after a reported crash may come from the restarted
+/// endpoint.
+const SURVIVAL_WINDOW_MS: u64 = 1_000;
+
 /// An endpoint may still run a cancelled request for this long.
 const CANCELLED_RUN_MS: u64 = 1_000;
 
@@ -49,7 +57,7 @@
 /// How long an answer acquits its segments of reported crashes that happened before it.
 const ANSWERED_TTL_MS: u64 = 60_000;
 
-/// How long an acquittal is reported to other nodes.
+/// How long an acquittal or a survival is reported to other nodes.
 const ACQUITTAL_REPORT_MS: u64 = 5_000;
 
 /// Fraction of its lifetime for which evidence is reported. Nodes would otherwise return forgotten
@@ -94,6 +102,24 @@
     pub companions: Vec<SegmentName>,
 }
 
+/// An endpoint that has not crashed although its connection to a node was closed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Survival {
+    /// The endpoint.
+    pub vm: VmName,
+    /// The time since the connection was closed.
+    pub age_ms: u64,
+}
+
+/// What a node knows of prompt segments that may crash endpoints.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct QuarantineReport {
+    /// Evidence on segments.
+    pub segments: Vec<SegmentEvidence>,
+    /// Crashes that did not happen.
+    pub survivals: Vec<Survival>,
+}
+
 /// A crash of an endpoint, with the other segments of the suspected requests.
 #[derive(Debug, Clone)]
 struct Crash {
@@ -171,6 +197,20 @@
     segments: Vec<SegmentName>,
 }
 
+/// A closed connection that was no crash.
+#[derive(Debug, Clone)]
+struct KnownSurvival {
+    vm: VmName,
+    closed_ms: u64,
+    learned_ms: u64,
+}
+
+impl KnownSurvival {
+    fn refutes(&self, vm: &VmName, at_ms: u64) -> bool {
+        self.vm == *vm && self.closed_ms.abs_diff(at_ms) < SAME_CRASH_MS
+    }
+}
+
 /// A segment whose requests are refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Blamed {
@@ -198,6 +238,9 @@
     /// Segments whose acquittal other nodes may not know of yet, with the time of the acquittal.
     acquitted: BTreeMap<SegmentName, u64>,
     cancelled: Vec<Cancelled>,
+    /// Crashes that may still turn out to be closed connections of a running endpoint.
+    unconfirmed: Vec<(VmName, u64)>,
+    survivals: Vec<KnownSurvival>,
     /// Segments that are quarantined, according to the last update.
     active: BTreeSet<SegmentName>,
     pruned_ms: u64,
@@ -211,6 +254,30 @@
         }
     }
 
+    /// Records that an answer of an endpoint began, continued or ended: it has not crashed shortly
+    /// before.
+    pub(crate) fn survived(&mut self, now_ms: u64, vm: &VmName) {
+        let refuted = self.unconfirmed.iter().find(|(crashed, at_ms)| {
+            let window_ms = at_ms + SURVIVAL_MARGIN_MS..at_ms + SURVIVAL_WINDOW_MS;
+            crashed == vm && window_ms.contains(&now_ms)
+        });
+        if let Some((_, at_ms)) = refuted {
+            self.refute(now_ms, vm.clone(), *at_ms);
+        }
+    }
+
+    /// Withdraws the evidence of a crash that did not happen.
+    fn refute(&mut self, now_ms: u64, vm: VmName, closed_ms: u64) {
+        if self.survivals.iter().any(|known| known.refutes(&vm, closed_ms)) {
+            return;
+        }
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.retain(|crash| !crash.is_same(&vm, closed_ms));
+        }
+        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.survivals.push(KnownSurvival { vm, closed_ms, learned_ms: now_ms });
+    }
+
     /// Records that an endpoint crashed before it had begun to answer a prompt with these segments.
     pub(crate) fn crashed(&mut self, now_ms: u64, vm: &VmName, segments: &[SegmentName]) {
         self.suspect(now_ms, vm, now_ms, segments);
@@ -251,6 +318,12 @@
             self.acquitted.insert(segment.clone(), now_ms);
             return;
         }
+        if self.survivals.iter().any(|known| known.refutes(&crash.vm, crash.at_ms)) {
+            return;
+        }
+        if !self.unconfirmed.iter().any(|(vm, at_ms)| crash.is_same(vm, *at_ms)) {
+            self.unconfirmed.push((crash.vm.clone(), crash.at_ms));
+        }
         let answered = &self.answered;
         crash.companions.retain(|other| answered.get(other).is_none_or(|ms| *ms < crash.at_ms));
         self.suspects.entry(segment.clone()).or_default().add(crash);
@@ -287,13 +360,21 @@
     }
 
     /// Applies the evidence of another node.
-    pub(crate) fn apply_report(&mut self, now_ms: u64, report: &[SegmentEvidence]) {
-        for evidence in report {
+    pub(crate) fn apply_report(&mut self, now_ms: u64, report: &QuarantineReport) {
+        for Survival { vm, age_ms } in &report.survivals {
+            self.refute(now_ms, vm.clone(), now_ms.saturating_sub(*age_ms));
+        }
+        self.apply_evidence(now_ms, &report.segments);
+    }
+
+    /// Applies evidence on segments.
+    pub(crate) fn apply_evidence(&mut self, now_ms: u64, segments: &[SegmentEvidence]) {
+        for evidence in segments {
             if let Some(age_ms) = evidence.answered_age_ms {
                 self.acquit(now_ms, &evidence.segment, now_ms.saturating_sub(age_ms));
             }
         }
-        for evidence in report {
+        for evidence in segments {
             for CrashEvidence { vm, age_ms, companions } in &evidence.crashes {
                 let at_ms = now_ms.saturating_sub(*age_ms);
                 self.suspect_cancelled(now_ms, vm, at_ms);
@@ -305,7 +386,7 @@
     }
 
     /// Returns the evidence to report to other nodes, that on the most suspected segments first.
-    pub(crate) fn report(&self, now_ms: u64) -> Vec<SegmentEvidence> {
+    pub(crate) fn report(&self, now_ms: u64) -> QuarantineReport {
         let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
         let is_reported = |suspect: &Suspect| {
             age_ms(suspect.last_crash_ms()) as f64 <= suspect.ttl_ms() as f64 * REPORTED_LIFETIME
@@ -319,7 +400,14 @@
         });
         let suspects = suspects.into_iter().take(MAX_REPORTED_SUSPECTS);
         let suspects = suspects.map(|(segment, suspect)| suspect.evidence(now_ms, segment));
-        suspects.chain(acquitted.take(MAX_REPORTED_SUSPECTS)).collect()
+        let survivals = self.survivals.iter().rev().take(MAX_REPORTED_SUSPECTS);
+        let survivals = survivals
+            .filter(|known| now_ms < known.learned_ms + ACQUITTAL_REPORT_MS)
+            .map(|known| Survival { vm: known.vm.clone(), age_ms: age_ms(known.closed_ms) });
+        QuarantineReport {
+            segments: suspects.chain(acquitted.take(MAX_REPORTED_SUSPECTS)).collect(),
+            survivals: survivals.collect(),
+        }
     }
 
     /// Returns the evidence that must outlast all nodes: that on segments with several crashes.
@@ -418,6 +506,8 @@
     fn prune(&mut self, now_ms: u64) {
         self.pruned_ms = now_ms;
         self.cancelled.retain(|cancelled| now_ms < cancelled.at_ms + CANCELLED_RUN_MS);
+        self.unconfirmed.retain(|(_, at_ms)| now_ms < *at_ms + SURVIVAL_WINDOW_MS);
+        self.survivals.retain(|known| now_ms < known.learned_ms + SUSPECT_TTL_MS);
         self.answered.retain(|_, at_ms| now_ms < *at_ms + ANSWERED_TTL_MS);
         self.acquitted.retain(|_, at_ms| now_ms < *at_ms + ACQUITTAL_REPORT_MS);
         self.suspects.retain(|_, s| now_ms < s.last_crash_ms() + s.ttl_ms());
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -58,11 +58,13 @@
                     fleet.reachability.answered(&endpoint.data_centre);
                 }
                 heard_from(fleet, now_ms, &vm);
+                fleet.quarantine.survived(now_ms, &vm);
             }
         }
         Event::Continued(attempt_id) => {
             if let Some(dispatched) = fleet.dispatched.get_mut(&attempt_id) {
                 dispatched.has_continued = true;
+                fleet.quarantine.survived(now_ms, &dispatched.vm);
                 fleet.quarantine.answered(now_ms, &dispatched.arrival.segments);
             }
         }
@@ -84,7 +86,7 @@
         Event::Probed { vm, is_alive } => {
             losses::probed(fleet, now_ms, &vm, is_alive, &mut effects)
         }
-        Event::QuarantineRead(evidence) => fleet.quarantine.apply_report(now_ms, &evidence),
+        Event::QuarantineRead(evidence) => fleet.quarantine.apply_evidence(now_ms, &evidence),
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(update) => apply_lease_event(fleet, now_ms, update, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
@@ -339,7 +341,8 @@
         // Silence is measured from the first request, not from the last event before it.
         progress_ms.store(now_ms, Ordering::Relaxed);
     }
-    let dispatched = Dispatched { kind: kind.clone(), arrival, has_continued: false };
+    let (kind, vm) = (kind.clone(), server.vm.clone());
+    let dispatched = Dispatched { kind, vm, arrival, has_continued: false };
     fleet.dispatched.insert(attempt_id, dispatched);
     let target = Target { vm: server.vm.clone(), address: server.address, progress_ms };
     effects.push(Effect::Dispatch { attempt_id, target, prompt_tokens });
@@ -372,7 +375,7 @@
     };
     update_reachability(fleet, now_ms, &running.vm, outcome, effects);
     let Some(dispatched) = fleet.dispatched.remove(&attempt_id) else { return };
-    record_evidence(fleet, now_ms, &running.vm, &dispatched, outcome);
+    record_evidence(fleet, now_ms, &dispatched, outcome);
     let kind = dispatched.kind;
     if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
         heard_from(fleet, now_ms, &running.vm);
@@ -386,13 +389,15 @@
 fn record_evidence(
     fleet: &mut Fleet,
     now_ms: u64,
-    vm: &VmName,
     dispatched: &Dispatched,
     outcome: AttemptOutcome,
 ) {
-    let segments = &dispatched.arrival.segments;
+    let Dispatched { vm, arrival: Arrival { segments, .. }, .. } = dispatched;
     match outcome {
-        AttemptOutcome::Answered => fleet.quarantine.answered(now_ms, segments),
+        AttemptOutcome::Answered => {
+            fleet.quarantine.survived(now_ms, vm);
+            fleet.quarantine.answered(now_ms, segments);
+        }
         _ if dispatched.has_continued => {}
         AttemptOutcome::Closed => fleet.quarantine.crashed(now_ms, vm, segments),
         AttemptOutcome::Cancelled => fleet.quarantine.cancelled(now_ms, vm, segments),
@@ -443,7 +448,7 @@
     let is_direct = report.scope == Scope::Node;
     let changes = fleet.operators.apply_report(now_ms, &report.operators, is_direct);
     effects.extend(evacuation_decisions(changes, unconfirmed_ms, Some(&report.node)));
-    fleet.quarantine.apply_report(now_ms, &report.segments);
+    fleet.quarantine.apply_report(now_ms, &report.quarantine);
     for lost in &report.lost {
         losses::apply_lost_report(fleet, now_ms, &report.node, lost, effects);
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -165,6 +165,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Dispatched {
     pub kind: RequestKind,
+    pub vm: VmName,
     pub arrival: Arrival,
     /// Whether the endpoint has survived the beginning of the answer.
     pub has_continued: bool,
@@ -291,7 +292,7 @@
             demand: self.demand.own(now_ms),
             lost: self.suspicions.lost(now_ms).collect(),
             operators: self.operators.report(now_ms),
-            segments: self.quarantine.report(now_ms),
+            quarantine: self.quarantine.report(now_ms),
         }
     }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -11,7 +11,9 @@
 use balsam_fleet::event::SentRequest;
 use balsam_fleet::operators::OperatorsReport;
 use balsam_fleet::quarantine::CrashEvidence;
+use balsam_fleet::quarantine::QuarantineReport;
 use balsam_fleet::quarantine::SegmentEvidence;
+use balsam_fleet::quarantine::Survival;
 use balsam_types::DataCentreName;
 use balsam_types::GroupName;
 use balsam_types::ModelName;
@@ -120,6 +122,17 @@
     operators: Option<Operators>,
     #[prost(message, repeated, tag = "13")]
     segments: Vec<Segment>,
+    #[prost(message, repeated, tag = "14")]
+    survivals: Vec<SurvivingEndpoint>,
+}
+
+/// An endpoint that closed a connection and has not crashed.
+#[derive(Clone, PartialEq, Message)]
+struct SurvivingEndpoint {
+    #[prost(string, tag = "1")]
+    vm: String,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
 }
 
 /// Evidence on a prompt segment.
@@ -242,7 +255,8 @@
         known_node_count: *known_node_count,
         summary,
         operators: Some(encode_operators(&report.operators)),
-        segments: report.segments.iter().map(encode_segment).collect(),
+        segments: report.quarantine.segments.iter().map(encode_segment).collect(),
+        survivals: report.quarantine.survivals.iter().map(encode_survival).collect(),
     };
     Datagram { report: Some(report), ..Datagram::default() }.encode_to_vec()
 }
@@ -255,6 +269,10 @@
     }
 }
 
+fn encode_survival(survival: &Survival) -> SurvivingEndpoint {
+    SurvivingEndpoint { vm: survival.vm.to_string(), age_ms: survival.age_ms }
+}
+
 fn encode_segment(evidence: &SegmentEvidence) -> Segment {
     let crashes = evidence.crashes.iter().map(|crash| Crash {
         vm: crash.vm.to_string(),
@@ -359,11 +377,18 @@
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
         lost: report.lost.into_iter().map(lost).collect::<Option<_>>()?,
         operators: operators_from(report.operators.unwrap_or_default())?,
-        segments: report.segments.into_iter().map(segment_from).collect::<Option<_>>()?,
+        quarantine: QuarantineReport {
+            segments: report.segments.into_iter().map(segment_from).collect::<Option<_>>()?,
+            survivals: report.survivals.into_iter().map(survival_from).collect::<Option<_>>()?,
+        },
     };
     Some(ReportMessage { report, known_node_count, nodes })
 }
 
+fn survival_from(survival: SurvivingEndpoint) -> Option<Survival> {
+    Some(Survival { vm: VmName::try_from(survival.vm).ok()?, age_ms: survival.age_ms })
+}
+
 fn segment_from(evidence: Segment) -> Option<SegmentEvidence> {
     let crash = |crash: Crash| {
         let companions = crash.companions.into_iter().map(|name| SegmentName::try_from(name).ok());
