--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,11 +1,13 @@
 //! Quarantine of prompt segments that crash the endpoints that begin to answer them.
 //!
 //! A crash ends every answer of an endpoint, so one crash does not show which request caused it.
-//! The suspects are the requests whose answer had not begun. Nodes exchange this evidence, as the
-//! next request with the same segment arrives at another node. A segment is blamed for crashes at
-//! different times, and an answer to any prompt with it acquits it. See
+//! The suspects are the requests whose answer had not got beyond its first event. Nodes exchange
+//! this evidence, as the next request with the same segment arrives at another node. A segment is
+//! blamed for crashes at different times, and an answer to any prompt with it acquits it. See
 //! `docs/decisions/0009-quarantine.md`.
 
+mod evidence;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -14,6 +16,14 @@
 use balsam_types::VmName;
 
 use crate::event::AttemptId;
+use crate::quarantine::evidence::Crash;
+pub use crate::quarantine::evidence::CrashEvidence;
+pub use crate::quarantine::evidence::QuarantineReport;
+use crate::quarantine::evidence::SAME_CRASH_MS;
+use crate::quarantine::evidence::SUSPECT_TTL_MS;
+pub use crate::quarantine::evidence::SegmentEvidence;
+pub use crate::quarantine::evidence::Survival;
+use crate::quarantine::evidence::Suspect;
 
 /// Number of crashes after which requests with a segment are refused.
 const MIN_CRASHES: usize = 3;
@@ -26,10 +36,6 @@
 /// the same moment, whatever they run.
 const CORRELATED_MS: u64 = 100;
 
-/// Reports of a crash of the same endpoint within this time are about the same crash. An endpoint
-/// takes longer to restart and to serve in a group again.
-const SAME_CRASH_MS: u64 = 1_500;
-
 /// An answer that begins or ends this long after a reported crash shows that the endpoint only
 /// closed one connection. Earlier ones may have been under way at the crash.
 const SURVIVAL_MARGIN_MS: u64 = 100;
@@ -48,12 +54,6 @@
 /// Maximum number of times that the quarantine doubles, so that it ends before `BLAMED_TTL_MS`.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Time after which the evidence on a segment with several crashes is forgotten.
-const BLAMED_TTL_MS: u64 = 3_600_000;
-
-/// Time after which a single crash is forgotten: most suspects were running beside its cause.
-const SUSPECT_TTL_MS: u64 = 60_000;
-
 /// How long an answer acquits its segments of reported crashes that happened before it.
 const ANSWERED_TTL_MS: u64 = 60_000;
 
@@ -70,125 +70,9 @@
 /// Maximum number of suspects; those with the fewest and oldest crashes are dropped first.
 const MAX_SUSPECTS: usize = 256;
 
-/// Maximum number of crashes kept for a suspect.
-const MAX_CRASHES: usize = 16;
-
 /// Maximum number of suspects in a report, which must fit a datagram.
 const MAX_REPORTED_SUSPECTS: usize = 16;
 
-/// Maximum number of crashes per suspect in a report; as many as justify a quarantine, and one
-/// more.
-const MAX_REPORTED_CRASHES: usize = MIN_CRASHES + 1;
-
-/// Evidence on a segment, as exchanged between nodes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SegmentEvidence {
-    /// The segment.
-    pub segment: SegmentName,
-    /// The time since a prompt with it was answered, if that acquits it.
-    pub answered_age_ms: Option<u64>,
-    /// The crashes that it may have caused.
-    pub crashes: Vec<CrashEvidence>,
-}
-
-/// A crash that a segment may have caused, as exchanged between nodes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CrashEvidence {
-    /// The endpoint that crashed.
-    pub vm: VmName,
-    /// The time since the crash.
-    pub age_ms: u64,
-    /// The other segments of the suspected requests.
-    pub companions: Vec<SegmentName>,
-}
-
-/// An endpoint that has not crashed although its connection to a node was closed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Survival {
-    /// The endpoint.
-    pub vm: VmName,
-    /// The time since the connection was closed.
-    pub age_ms: u64,
-}
-
-/// What a node knows of prompt segments that may crash endpoints.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct QuarantineReport {
-    /// Evidence on segments.
-    pub segments: Vec<SegmentEvidence>,
-    /// Crashes that did not happen.
-    pub survivals: Vec<Survival>,
-}
-
-/// A crash of an endpoint, with the other segments of the suspected requests.
-#[derive(Debug, Clone)]
-struct Crash {
-    vm: VmName,
-    at_ms: u64,
-    companions: BTreeSet<SegmentName>,
-}
-
-impl Crash {
-    fn is_same(&self, vm: &VmName, at_ms: u64) -> bool {
-        self.vm == *vm && self.at_ms.abs_diff(at_ms) < SAME_CRASH_MS
-    }
-}
-
-/// A segment of which no prompt was answered since the first of its crashes.
-#[derive(Debug, Clone, Default)]
-struct Suspect {
-    /// The crashes, the oldest first.
-    crashes: Vec<Crash>,
-    /// The request that was let through to find out whether the segment still crashes endpoints.
-    trial: Option<(AttemptId, u64)>,
-}
-
-impl Suspect {
-    fn last_crash_ms(&self) -> u64 {
-        self.crashes.last().map_or(0, |crash| crash.at_ms)
-    }
-
-    fn ttl_ms(&self) -> u64 {
-        if self.crashes.len() > 1 { BLAMED_TTL_MS } else { SUSPECT_TTL_MS }
-    }
-
-    /// Adds a crash, or what another report says of a known one.
-    fn add(&mut self, crash: Crash) {
-        if let Some(known) = self.crashes.iter_mut().find(|c| c.is_same(&crash.vm, crash.at_ms)) {
-            known.at_ms = known.at_ms.min(crash.at_ms);
-            // Either request may be the cause, so all of their segments stay in question.
-            known.companions.extend(crash.companions);
-            return;
-        }
-        let index = self.crashes.partition_point(|known| known.at_ms <= crash.at_ms);
-        self.crashes.insert(index, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-    }
-
-    fn evidence(&self, now_ms: u64, segment: &SegmentName) -> SegmentEvidence {
-        let newest = self.crashes.iter().rev().take(MAX_REPORTED_CRASHES);
-        let crashes = newest.map(|crash| CrashEvidence {
-            vm: crash.vm.clone(),
-            age_ms: now_ms.saturating_sub(crash.at_ms),
-            companions: crash.companions.iter().cloned().collect(),
-        });
-        SegmentEvidence {
-            segment: segment.clone(),
-            answered_age_ms: None,
-            crashes: crashes.collect(),
-        }
-    }
-
-    /// Returns the segments that occurred along with this one in every crash.
-    fn inseparable(&self) -> BTreeSet<SegmentName> {
-        let mut crashes = self.crashes.iter();
-        let first = crashes.next().map(|crash| crash.companions.clone()).unwrap_or_default();
-        crashes.fold(first, |common, crash| &common & &crash.companions)
-    }
-}
-
 /// A request that was sent and whose caller left before its answer began.
 #[derive(Debug, Clone)]
 struct Cancelled {
@@ -222,13 +106,6 @@
     pub endpoints: Vec<VmName>,
 }
 
-/// Why a request must not be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Block {
-    /// How long requests with the segment are refused.
-    pub left_ms: u64,
-}
-
 /// The evidence on prompt segments, from this node's attempts and other nodes' reports.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -462,8 +339,8 @@
         })
     }
 
-    /// Returns whether a request must be refused. When the quarantine is over, one request at a
-    /// time may pass as a trial, at the one node with `may_try`.
+    /// Returns for how long a request must be refused; `None` if it may be sent. When the quarantine
+    /// is over, one request at a time may pass as a trial, at the one node with `may_try`.
     pub(crate) fn check(
         &mut self,
         now_ms: u64,
@@ -471,7 +348,7 @@
         segments: &[SegmentName],
         is_retry: bool,
         may_try: bool,
-    ) -> Option<Block> {
+    ) -> Option<u64> {
         let min_crashes = if is_retry { MIN_CRASHES_FOR_RETRY } else { MIN_CRASHES };
         let (segment, crashes) = self.blocking(segments, min_crashes)?;
         let suspect = self.suspects.get_mut(&segment)?;
@@ -487,7 +364,7 @@
             suspect.trial = Some((attempt_id, now_ms));
             return None;
         }
-        Some(Block { left_ms: until_ms.saturating_sub(now_ms) })
+        Some(until_ms.saturating_sub(now_ms))
     }
 
     /// Whether a request that was accepted earlier must not run any more.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -295,8 +295,8 @@
     // The planning node is the only one of its kind, so one trial runs at a time.
     let may_try = fleet.planner.holds_lease(now_ms);
     let (attempt_id, segments) = (arrival.attempt_id, &arrival.segments);
-    let block = fleet.quarantine.check(now_ms, attempt_id, segments, is_retry, may_try)?;
-    Some(Refusal { reason: RefuseReason::Quarantined, retry_after_ms: block.left_ms })
+    let left_ms = fleet.quarantine.check(now_ms, attempt_id, segments, is_retry, may_try)?;
+    Some(Refusal { reason: RefuseReason::Quarantined, retry_after_ms: left_ms })
 }
 
 /// Refuses a queued request if its prompt is quarantined; returns whether it did.
