Give each endpoint stand-in a port of its own

retries_are_bounded_when_every_endpoint_refuses::case_2_unreachable got answers from endpoints that it had stopped.

Cause, as traced before: endpoint stand-ins listened on ports that the system chose. The system gave the port of a stopped endpoint to an endpoint of a test that ran in parallel.

Change: Endpoint::start takes its port from free_address, which gives none twice in a process.

--- a/crates/standin/src/endpoint/mod.rs
+++ b/crates/standin/src/endpoint/mod.rs
@@ -23,6 +23,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::address::free_address;
+
 /// Kind of the endpoint and its behaviour without faults.
 #[derive(Debug, Clone)]
 pub struct EndpointOptions {
@@ -183,9 +185,10 @@
 }
 
 impl Endpoint {
-    /// Starts an endpoint on a free loopback port.
+    /// Starts an endpoint on a free loopback port, which no other endpoint of the process gets after
+    /// this one has stopped.
     pub async fn start(options: EndpointOptions) -> std::io::Result<Self> {
-        Self::start_on(options, SocketAddr::from(([127, 0, 0, 1], 0))).await
+        Self::start_on(options, free_address()?).await
     }
 
     /// Starts an endpoint on an address.
