Refute crashes of endpoints that close every connection

Cause: the endpoint i-9a3a4fa612 closed every connection from 8 to 16 s and answered none (383 attempts). Closings more than 1.5 s apart count as different crashes, so three of its closings blamed a segment; twelve segments of sound requests were quarantined. A crash was withdrawn only if the endpoint answered something within a second.

Ruled out: crashes at the same moment (the connections that were reset on many endpoints from 16.9 s on count once).

Change: a request that was sent 0.1 s or more after a reported crash and whose connection is closed within a second of it refutes that crash: an endpoint that has crashed refuses connections until it has restarted. Each node keeps its closings for five seconds, as it may hear of the crash later.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -44,6 +44,9 @@
 /// endpoint.
 const SURVIVAL_WINDOW_MS: u64 = 1_000;
 
+/// How long closings are kept; other nodes report a crash within this time.
+const CLOSING_TTL_MS: u64 = 5_000;
+
 /// An endpoint may still run a cancelled request for this long.
 const CANCELLED_RUN_MS: u64 = 1_000;
 
@@ -81,6 +84,23 @@
     segments: Vec<SegmentName>,
 }
 
+/// A request that was sent to an endpoint and whose connection the endpoint closed.
+#[derive(Debug, Clone)]
+struct Closing {
+    vm: VmName,
+    sent_ms: u64,
+    closed_ms: u64,
+}
+
+impl Closing {
+    /// Whether the endpoint was running too soon after a reported crash to have restarted.
+    fn refutes(&self, vm: &VmName, at_ms: u64) -> bool {
+        self.vm == *vm
+            && self.sent_ms >= at_ms + SURVIVAL_MARGIN_MS
+            && self.closed_ms < at_ms + SURVIVAL_WINDOW_MS
+    }
+}
+
 /// A closed connection that was no crash.
 #[derive(Debug, Clone)]
 struct KnownSurvival {
@@ -118,6 +138,8 @@
     /// Crashes that may still turn out to be closed connections of a running endpoint.
     unconfirmed: Vec<(VmName, u64)>,
     survivals: Vec<KnownSurvival>,
+    /// Recent closings seen by this node, as it may hear of an earlier crash later.
+    closings: Vec<Closing>,
     /// Segments that are quarantined, according to the last update.
     active: BTreeSet<SegmentName>,
     pruned_ms: u64,
@@ -143,6 +165,19 @@
         }
     }
 
+    /// Records that an endpoint closed the connection of a request that was sent at `sent_ms`.
+    ///
+    /// An endpoint that has crashed refuses connections until it has restarted. One that closes
+    /// every connection is broken, whatever it is asked.
+    pub(crate) fn closed(&mut self, now_ms: u64, vm: &VmName, sent_ms: u64) {
+        let closing = Closing { vm: vm.clone(), sent_ms, closed_ms: now_ms };
+        let mut unconfirmed = self.unconfirmed.iter();
+        if let Some((vm, at_ms)) = unconfirmed.find(|(vm, at_ms)| closing.refutes(vm, *at_ms)) {
+            self.refute(now_ms, vm.clone(), *at_ms);
+        }
+        self.closings.push(closing);
+    }
+
     /// Withdraws the evidence of a crash that did not happen.
     fn refute(&mut self, now_ms: u64, vm: VmName, closed_ms: u64) {
         if self.survivals.iter().any(|known| known.refutes(&vm, closed_ms)) {
@@ -198,6 +233,10 @@
         if self.survivals.iter().any(|known| known.refutes(&crash.vm, crash.at_ms)) {
             return;
         }
+        if self.closings.iter().any(|closing| closing.refutes(&crash.vm, crash.at_ms)) {
+            self.refute(now_ms, crash.vm, crash.at_ms);
+            return;
+        }
         if !self.unconfirmed.iter().any(|(vm, at_ms)| crash.is_same(vm, *at_ms)) {
             self.unconfirmed.push((crash.vm.clone(), crash.at_ms));
         }
@@ -384,6 +423,7 @@
         self.pruned_ms = now_ms;
         self.cancelled.retain(|cancelled| now_ms < cancelled.at_ms + CANCELLED_RUN_MS);
         self.unconfirmed.retain(|(_, at_ms)| now_ms < *at_ms + SURVIVAL_WINDOW_MS);
+        self.closings.retain(|closing| now_ms < closing.closed_ms + CLOSING_TTL_MS);
         self.survivals.retain(|known| now_ms < known.learned_ms + SUSPECT_TTL_MS);
         self.answered.retain(|_, at_ms| now_ms < *at_ms + ANSWERED_TTL_MS);
         self.acquitted.retain(|_, at_ms| now_ms < *at_ms + ACQUITTAL_REPORT_MS);
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -398,6 +398,9 @@
     };
     update_reachability(fleet, now_ms, &running.vm, outcome, effects);
     let Some(dispatched) = fleet.dispatched.remove(&attempt_id) else { return };
+    if outcome == AttemptOutcome::Closed {
+        fleet.quarantine.closed(now_ms, &running.vm, running.sent_ms);
+    }
     record_evidence(fleet, now_ms, &dispatched, outcome);
     let kind = dispatched.kind;
     if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
--- a/crates/fleet/tests/fleet/quarantine.rs
+++ b/crates/fleet/tests/fleet/quarantine.rs
@@ -67,6 +67,15 @@
         self.send_as(arrival(self.attempts, now_ms, names), now_ms)
     }
 
+    /// Sends a request to an endpoint; returns its attempt.
+    fn send_to(&mut self, now_ms: u64, names: &[&str], vm: &VmName) -> u64 {
+        self.attempts += 1;
+        let heads = (1..=HEADS).map(|port| support::vm(&format!("vm-{port}")));
+        let tried = heads.filter(|head| head != vm).collect();
+        let arrival = Arrival { tried, ..arrival(self.attempts, now_ms, names) };
+        self.send_as(arrival, now_ms).unwrap()
+    }
+
     fn send_as(&mut self, arrival: Arrival, now_ms: u64) -> Result<u64, Refusal> {
         let attempt_id = arrival.attempt_id;
         let effects = self.apply(now_ms, Event::Arrive(arrival));
@@ -323,6 +332,48 @@
     assert!(node.report(4_000).quarantine.segments.iter().all(|s| s.crashes.is_empty()));
 }
 
+/// An endpoint that closes every connection and never answers has not crashed each time: it could not
+/// have taken the next request so soon. One such endpoint quarantined twelve segments of sound
+/// requests (inc-4d71, cmg-ruteo-grown, from 13.5 s). The other requests may come from any node.
+#[rstest]
+#[case::own(false)]
+#[case::reported(true)]
+fn an_endpoint_that_closes_every_connection_blames_no_segment(#[case] is_reported: bool) {
+    let mut node = Node::new("one");
+    let mut other = Node::new("two");
+    let vm = support::vm("vm-1");
+    for closed in 0..6 {
+        let now_ms = 2_000 + closed * 1_600;
+        let outcome = AttemptOutcome::Closed;
+        let attempt_id = node.send_to(now_ms, &["x"], &vm);
+        node.apply(now_ms, Event::Ended { attempt_id, outcome });
+        let sender = if is_reported { &mut other } else { &mut node };
+        let attempt_id = sender.send_to(now_ms + 300, &["z"], &vm);
+        sender.apply(now_ms + 320, Event::Ended { attempt_id, outcome });
+        if is_reported {
+            other.hear(now_ms + 500, &node);
+            node.hear(now_ms + 600, &other);
+        }
+    }
+    assert!(!node.is_refused(12_000, &["x"]));
+    assert!(!other.is_refused(12_000, &["x"]));
+}
+
+/// A request that was sent before the crash may see its connection closed late.
+#[test]
+fn a_connection_that_is_closed_late_does_not_refute_a_crash() {
+    let mut node = Node::new("one");
+    for crash in 0..3 {
+        let now_ms = 2_000 + crash * APART_MS;
+        let vm = support::vm(&format!("vm-{}", crash + 1));
+        let beside = node.send_to(now_ms - 10, &["z"], &vm);
+        let crashing = node.send_to(now_ms - 5, &["x"], &vm);
+        node.end(now_ms, crashing, AttemptOutcome::Closed);
+        node.end(now_ms + 200, beside, AttemptOutcome::Closed);
+    }
+    assert!(node.is_refused(4_000, &["x"]));
+}
+
 /// The endpoint may still run a request whose caller has left, and crash on it (day tainted,
 /// galamb-ledger, seed 1, 15.9 s). The crash is seen by the attempts of other requests.
 #[test]
