--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -78,12 +78,6 @@
 /// Interval between two log entries on the utilisation of each model.
 const USE_LOG_INTERVAL_MS: u64 = 2_000;
 
-/// Returns the time allowed for a group to form. Concurrent loads slow each other down.
-fn forming_timeout_ms(model: &Model, has_loads: bool) -> u64 {
-    let join_ms = if has_loads { 2 * model.load_ms } else { model.warm_ms };
-    join_ms + JOIN_MARGIN_MS
-}
-
 type GroupKey = (GroupName, u64);
 
 /// A group that is being formed.
@@ -502,5 +496,11 @@
     }
 }
 
+/// Returns the time allowed for a group to form. Concurrent loads slow each other down.
+fn forming_timeout_ms(model: &Model, has_loads: bool) -> u64 {
+    let join_ms = if has_loads { 2 * model.load_ms } else { model.warm_ms };
+    join_ms + JOIN_MARGIN_MS
+}
+
 /// Number of epoch bits that count the groups formed in one generation.
 const EPOCH_BITS: u32 = 16;
