Log how long an endpoint was silent when a stream is cut

The line of a started stream that ends early had its last failure only. It now has the endpoint, the number of attempts, the last event that the caller got and the time since then, which tells a stream that the node ended for silence from one that the endpoint broke off.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -179,10 +179,24 @@
             StreamError::Failed(failure) => failure.as_str(),
             StreamError::Answer(_) => "an endpoint answered a resume with an error",
         };
-        self.shared.log_request_end(&self.request, "stream_cut", cause);
+        self.log_cut(cause);
         cause.to_owned()
     }
 
+    /// Logs a started stream that ends early, with what tells a silent endpoint from one that broke
+    /// the stream off.
+    fn log_cut(&self, cause: &str) {
+        let Some(dropped) = self.shared.hub.log_limiter.take("stream_cut") else { return };
+        let request = &self.request;
+        info!(self.shared.hub.log, "stream cut"; "kind" => "stream_cut",
+            "request" => request.id_text(), "route" => %request.route.name, "outcome" => cause,
+            "endpoint" => self.tried.last().map(|vm| vm.as_str().to_owned()),
+            "attempts" => self.tried.len(), "last_event_id" => self.last_id,
+            "silent_ms" => now_ms().saturating_sub(self.timing.last_ms),
+            "age_ms" => now_ms() - request.arrived_ms, "left_ms" => request.left_ms(),
+            "dropped_lines" => dropped);
+    }
+
     /// Waits for the first event; the caller gets the headers of the endpoint that sent it.
     async fn first_events(
         &mut self,
