--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -226,7 +226,7 @@
     Unreachable,
     /// The endpoint closed or reset the connection before the end of its answer, as a crash does.
     Closed,
-    /// The connection went silent, or the attempt was abandoned with its group.
+    /// The connection went silent, or the group was considered lost.
     Broken,
     /// The endpoint sent bytes that are not a valid answer to the request.
     Faulty,
@@ -400,6 +400,12 @@
         /// The attempt.
         attempt_id: AttemptId,
     },
+    /// Start another attempt beside one whose group is considered lost. That one goes on, because
+    /// its endpoint may only be silent for a while.
+    TryElsewhere {
+        /// The attempt.
+        attempt_id: AttemptId,
+    },
     /// Check on a new connection whether an endpoint is alive.
     Probe {
         /// The endpoint.
@@ -438,8 +444,8 @@
         epoch: u64,
         /// The member that did not answer, if one is known.
         member: Option<VmName>,
-        /// Number of attempts that were cancelled.
-        abandoned: usize,
+        /// Number of this node's attempts at the group.
+        attempts: usize,
     },
     /// A group has started to serve.
     GroupServes {
--- a/crates/fleet/src/losses.rs
+++ b/crates/fleet/src/losses.rs
@@ -1,4 +1,4 @@
-//! Handling of silent and lost groups: their members are probed and their attempts are cancelled.
+//! Handling of silent and lost groups: their members are probed and their attempts are tried elsewhere.
 //!
 //! See [`crate::suspicion`] for what counts as silence and as a loss.
 
@@ -88,7 +88,7 @@
     } else if is_enough {
         let member = lost.member.clone();
         if fleet.suspicions.mark_lost_as_reported(now_ms, &head, &key, member.clone()) {
-            abandon(fleet, &head, &key, Some(member), effects);
+            try_elsewhere(fleet, &head, &key, Some(member), effects);
         }
     }
 }
@@ -126,11 +126,11 @@
         let evidence = Evidence::Observed { at_ms: now_ms };
         fleet.suspicions.defer_to_witnesses(now_ms, head, evidence);
     }
-    abandon(fleet, head, key, member, effects);
+    try_elsewhere(fleet, head, key, member, effects);
 }
 
-/// Cancels the attempts at the head of a lost group.
-fn abandon(
+/// Has the attempts at the head of a lost group tried elsewhere.
+fn try_elsewhere(
     fleet: &Fleet,
     head: &VmName,
     key: &(GroupName, u64),
@@ -142,9 +142,9 @@
         group: key.0.clone(),
         epoch: key.1,
         member,
-        abandoned: attempts.len(),
+        attempts: attempts.len(),
     }));
-    effects.extend(attempts.into_iter().map(|attempt_id| Effect::Abandon { attempt_id }));
+    effects.extend(attempts.into_iter().map(|attempt_id| Effect::TryElsewhere { attempt_id }));
 }
 
 /// Looks for heads whose answers have all gone silent.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balsam_fleet::Event;
+use balsam_fleet::Target;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
 use balsam_http::SendError;
@@ -16,7 +17,6 @@
 use hyper::body::Incoming;
 
 use crate::front::Shared;
-use crate::hub::Placement;
 use crate::request::Request;
 
 /// Fraction of the idle time advertised by an endpoint for which its connections are reused.
@@ -36,8 +36,8 @@
     Broken(String),
     /// The request may have run, but the endpoint's answer is invalid.
     Faulty(String),
-    /// The endpoint's group was lost while the request was running.
-    Abandoned,
+    /// The fleet withdrew the request while it was running.
+    Withdrawn,
 }
 
 impl AttemptFailure {
@@ -48,7 +48,7 @@
             Self::TurnedAway(StatusCode::MISDIRECTED_REQUEST) => AttemptOutcome::Misdirected,
             Self::TurnedAway(_) => AttemptOutcome::TurnedAway,
             Self::Closed(_) => AttemptOutcome::Closed,
-            Self::Broken(_) | Self::Abandoned => AttemptOutcome::Broken,
+            Self::Broken(_) | Self::Withdrawn => AttemptOutcome::Broken,
             Self::Faulty(_) => AttemptOutcome::Faulty,
         }
     }
@@ -61,7 +61,7 @@
             Self::Closed(_) => "closed",
             Self::Broken(_) => "broken",
             Self::Faulty(_) => "faulty",
-            Self::Abandoned => "group_lost",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
@@ -88,29 +88,35 @@
         match failure {
             AttemptFailure::NotSent(_) => self.not_sent += 1,
             AttemptFailure::TurnedAway(_) => self.turned_away += 1,
-            // The endpoint may have started the request, even if its group was lost later.
             AttemptFailure::Closed(_)
             | AttemptFailure::Broken(_)
             | AttemptFailure::Faulty(_)
-            | AttemptFailure::Abandoned => self.count_possible_run(),
+            | AttemptFailure::Withdrawn => self.count_possible_run(),
         }
     }
 
+    /// Counts the end of an attempt that had already been counted as a possible run, because another
+    /// one was started beside it.
+    pub fn count_counted_failure(&mut self, failure: &AttemptFailure) {
+        self.uncount_possible_run();
+        self.count_failure(failure);
+    }
+
     /// Counts an attempt that an endpoint may have run.
     pub fn count_possible_run(&mut self) {
         self.may_have_run += 1;
     }
 
+    /// Takes back the count of an attempt that goes on after all.
+    pub fn uncount_possible_run(&mut self) {
+        self.may_have_run -= 1;
+    }
+
     /// Whether an endpoint may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run > 0
     }
 
-    /// Returns the number of attempts that endpoints may have run.
-    pub fn possible_runs(&self) -> u32 {
-        self.may_have_run
-    }
-
     /// Whether an endpoint received the request, so that another attempt counts as a retry.
     pub fn has_reached_endpoint(&self) -> bool {
         self.may_have_run + self.turned_away > 0
@@ -118,9 +124,16 @@
 
     /// Whether the route and the deadline allow another attempt.
     pub fn allows_retry(&self, request: &Request) -> bool {
+        self.allows_retry_beside(request, 0)
+    }
+
+    /// Whether the route and the deadline allow another attempt beside some that are still running
+    /// and were not counted yet.
+    pub fn allows_retry_beside(&self, request: &Request, running: u32) -> bool {
         let route = &request.route;
-        (!self.may_have_run() || route.kind.may_repeat())
-            && self.may_have_run < route.max_attempts
+        let possible_runs = self.may_have_run + running;
+        (possible_runs == 0 || route.kind.may_repeat())
+            && possible_runs < route.max_attempts
             && self.turned_away <= MAX_TURNED_AWAY
             && self.not_sent <= MAX_NOT_SENT
             && request.left_ms() > 0
@@ -136,28 +149,20 @@
     Never,
 }
 
-/// Sends a request and waits for the headers of the answer.
+/// Sends a request and waits for the headers of the answer until the request's deadline.
 pub(crate) async fn send(
     shared: &Shared,
     request: &Request,
-    placement: &Placement,
+    target: &Target,
     last_event_id: Option<u64>,
     reuse: Reuse,
-    answer_timeout: Duration,
 ) -> Result<(Conn, Response<Incoming>), AttemptFailure> {
-    let outgoing = build_request(shared, request, placement, last_event_id);
-    let address = placement.target.address;
-    let exchange = async {
-        match reuse {
-            Reuse::Allowed => shared.client.send(address, &outgoing, answer_timeout, || true).await,
-            Reuse::Never => {
-                shared.client.send_on_new_connection(address, outgoing, answer_timeout).await
-            }
-        }
-    };
-    let sent = tokio::select! {
-        sent = exchange => sent,
-        () = placement.abandoned.notified() => return Err(AttemptFailure::Abandoned),
+    let outgoing = build_request(shared, request, target, last_event_id);
+    let address = target.address;
+    let left = Duration::from_millis(request.left_ms());
+    let sent = match reuse {
+        Reuse::Allowed => shared.client.send(address, &outgoing, left, || true).await,
+        Reuse::Never => shared.client.send_on_new_connection(address, outgoing, left).await,
     };
     let (conn, response) = sent.map_err(|error| match error {
         SendError::NotWritten(cause) | SendError::Refused(cause) => AttemptFailure::NotSent(cause),
@@ -166,7 +171,7 @@
         SendError::Malformed(cause) => AttemptFailure::Faulty(cause),
         SendError::TimedOut => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
-    report_endpoint_state(shared, &placement.target.vm, &response);
+    report_endpoint_state(shared, &target.vm, &response);
     validate_answer(shared, request, &response)?;
     Ok((conn, response))
 }
@@ -231,7 +236,7 @@
 fn build_request(
     shared: &Shared,
     request: &Request,
-    placement: &Placement,
+    target: &Target,
     last_event_id: Option<u64>,
 ) -> http::Request<Full<bytes::Bytes>> {
     let dialect = &shared.dialect;
@@ -240,7 +245,7 @@
     *outgoing.uri_mut() = request.uri.clone();
     let mut headers = request.headers.clone();
     headers.insert(dialect.time_budget.clone(), HeaderValue::from(request.left_ms()));
-    insert(&mut headers, &dialect.expected_endpoint, placement.target.vm.as_str());
+    insert(&mut headers, &dialect.expected_endpoint, target.vm.as_str());
     if let Some(organisation) = &request.organisation {
         insert(&mut headers, &dialect.organisation, organisation.name.as_str());
     }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -61,9 +61,9 @@
             info!(log, "group is silent"; "kind" => kind, "group" => %group,
                 "silent_ms" => silent_ms, "dropped_lines" => dropped);
         }
-        Decision::GroupLost { group, epoch, member, abandoned } => {
+        Decision::GroupLost { group, epoch, member, attempts } => {
             info!(log, "group is lost"; "kind" => kind, "group" => %group, "epoch" => epoch,
-                "member" => ?member, "abandoned_attempts" => abandoned, "dropped_lines" => dropped);
+                "member" => ?member, "attempts" => attempts, "dropped_lines" => dropped);
         }
         Decision::GroupServes { group, epoch } => {
             info!(log, "group serves"; "kind" => kind, "group" => %group, "epoch" => epoch,
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -287,7 +287,7 @@
     pub fn log_attempt_failure(
         &self,
         request: &Request,
-        tried: &[VmName],
+        vm: Option<&VmName>,
         failure: &AttemptFailure,
         has_events: bool,
     ) {
@@ -295,7 +295,7 @@
         if let Some(dropped) = self.hub.log_limiter.take("attempt_failed") {
             info!(self.hub.log, "attempt failed"; "kind" => "attempt_failed",
                 "request" => request.id_text(), "route" => %request.route.name,
-                "endpoint" => tried.last().map(|vm| vm.as_str().to_owned()),
+                "endpoint" => vm.map(|vm| vm.as_str().to_owned()),
                 "failure" => ?failure, "has_events" => has_events,
                 "segments" => ?request.work.shared_segments,
                 "age_ms" => now_ms() - request.arrived_ms,
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -7,6 +7,8 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use balsam_fleet::Arrival;
@@ -25,7 +27,6 @@
 use balsam_types::VmName;
 use slog::Logger;
 use slog::info;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -49,7 +50,16 @@
 /// Delivers the reducer's effects to one attempt.
 struct AttemptHandle {
     decided: Option<oneshot::Sender<DispatchResult>>,
-    abandoned: Arc<Notify>,
+    advice: mpsc::UnboundedSender<Advice>,
+}
+
+/// What the fleet tells a running attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Advice {
+    /// Start another attempt; this one may go on.
+    TryElsewhere,
+    /// End this attempt.
+    Withdraw,
 }
 
 /// The fleet state machine of a node, shared by all its requests.
@@ -80,14 +90,21 @@
     attempt_id: AttemptId,
     /// The endpoint.
     pub target: Target,
-    /// Notified when the attempt should be abandoned.
-    pub abandoned: Arc<Notify>,
+    advice: mpsc::UnboundedReceiver<Advice>,
     has_ended: bool,
     /// Number of events that arrived; more than two are not counted.
     events: u8,
 }
 
 impl Placement {
+    /// Polls for the next advice of the fleet.
+    pub fn poll_advice(&mut self, cx: &mut Context<'_>) -> Poll<Advice> {
+        match self.advice.poll_recv(cx) {
+            Poll::Ready(Some(advice)) => Poll::Ready(advice),
+            Poll::Ready(None) | Poll::Pending => Poll::Pending,
+        }
+    }
+
     /// Records that an event of the answer arrived.
     pub fn progress(&mut self) {
         self.target.progress_ms.store(now_ms(), Ordering::Relaxed);
@@ -204,8 +221,8 @@
         let attempt_id = self.next_attempt_id.fetch_add(1, Ordering::Relaxed);
         arrival.attempt_id = attempt_id;
         let (decide, decided) = oneshot::channel();
-        let abandoned = Arc::new(Notify::new());
-        let handle = AttemptHandle { decided: Some(decide), abandoned: abandoned.clone() };
+        let (advise, advice) = mpsc::unbounded_channel();
+        let handle = AttemptHandle { decided: Some(decide), advice: advise };
         self.handles().insert(attempt_id, handle);
         let mut cancel_guard = CancelOnDrop { hub: self, attempt_id, is_decided: false };
         let arrived_ms = now_ms();
@@ -216,7 +233,7 @@
         match result {
             Ok(Ok(target)) => {
                 let hub = self.clone();
-                Ok(Placement { hub, attempt_id, target, abandoned, has_ended: false, events: 0 })
+                Ok(Placement { hub, attempt_id, target, advice, has_ended: false, events: 0 })
             }
             Ok(Err(refusal)) => Err(refusal),
             Err(_) => {
@@ -243,11 +260,8 @@
                 self.decide(attempt_id, Ok(target));
             }
             Effect::Refuse { attempt_id, refusal } => self.decide(attempt_id, Err(refusal)),
-            Effect::Abandon { attempt_id } => {
-                if let Some(handle) = self.handles().get(&attempt_id) {
-                    handle.abandoned.notify_one();
-                }
-            }
+            Effect::Abandon { attempt_id } => self.advise(attempt_id, Advice::Withdraw),
+            Effect::TryElsewhere { attempt_id } => self.advise(attempt_id, Advice::TryElsewhere),
             Effect::Probe { vm, address } => self.probe(vm, address),
             Effect::Order { vm, address, order } => self.order(vm, address, order),
             Effect::LogDecision(decision) => {
@@ -257,6 +271,13 @@
         }
     }
 
+    fn advise(&self, attempt_id: AttemptId, advice: Advice) {
+        if let Some(handle) = self.handles().get(&attempt_id) {
+            // An attempt that no longer listens has ended.
+            let _ = handle.advice.send(advice);
+        }
+    }
+
     fn decide(&self, attempt_id: AttemptId, result: DispatchResult) {
         let is_refusal = result.is_err();
         let mut handles = self.handles();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod request;
 mod stream;
+mod upstream;
 
 pub use answer::Body;
 pub use calls::EndpointCalls;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -3,15 +3,22 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::VmName;
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::answer::Body;
@@ -33,61 +40,150 @@
 const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
 
 /// Serves a request whose answer is a single body.
+///
+/// A request that may be repeated is tried at another endpoint when its answer is late. The first
+/// attempt stays open meanwhile, because its answer may still arrive.
 pub(crate) async fn serve(
     shared: &Shared,
     request: &Request,
 ) -> Result<Response<Body>, RequestFailure> {
-    let mut tried: Vec<VmName> = Vec::new();
-    let mut error_answer: Option<EndpointAnswer> = None;
-    let mut counts = AttemptCounts::default();
+    let mut attempts = Attempts {
+        shared,
+        request,
+        open: FuturesUnordered::new(),
+        tried: Vec::new(),
+        counts: AttemptCounts::default(),
+        newest: 0,
+        error_answer: None,
+    };
+    attempts.start();
+    let target = Duration::from_millis(request.route.target_ms);
+    let mut late_at = None;
     loop {
-        let arrival = request.arrival(&tried, counts.has_reached_endpoint(), false);
-        let placement = match shared.hub.place(arrival).await {
-            Ok(placement) => placement,
-            Err(refusal) => {
-                shared.log_refusal(request, &refusal);
-                return give_up(request, error_answer, &counts, refusal.retry_after_ms);
+        let step = tokio::select! {
+            biased;
+            Some(step) = attempts.open.next() => step,
+            () = sleep_until(late_at.unwrap_or_else(Instant::now)), if late_at.is_some() => {
+                late_at = None;
+                attempts.start_beside_newest();
+                continue;
             }
         };
-        tried.push(placement.target.vm.clone());
-        match run_attempt(shared, request, placement, counts.possible_runs()).await {
-            Ok(answer) if !answer.status.is_server_error() => return Ok(caller_response(answer)),
-            Ok(answer) => {
-                counts.count_possible_run();
-                if !counts.allows_retry(request) {
-                    return Ok(caller_response(answer));
+        match step {
+            Step::Placed { number, placement } => {
+                attempts.tried.push(placement.target.vm.clone());
+                late_at = attempts.allows_another().then(|| Instant::now() + target);
+                attempts.open.push(run_attempt(shared, request, number, placement).boxed());
+            }
+            Step::Refused(refusal) => {
+                if attempts.open.is_empty() {
+                    shared.log_refusal(request, &refusal);
+                    return attempts.give_up(refusal.retry_after_ms);
                 }
-                error_answer = Some(answer);
             }
-            Err(failure) => {
-                shared.log_attempt_failure(request, &tried, &failure, false);
-                counts.count_failure(&failure);
-                if !counts.allows_retry(request) {
-                    return give_up(
-                        request,
-                        error_answer,
-                        &counts,
-                        shared.options.turned_away_retry_after_ms,
-                    );
+            Step::Answered { answer, .. } if !answer.status.is_server_error() => {
+                return Ok(caller_response(answer));
+            }
+            Step::Answered { number, answer } => {
+                if !attempts.is_counted(number) {
+                    attempts.counts.count_possible_run();
+                }
+                attempts.error_answer = Some(answer);
+                if !attempts.continue_after(number, None) {
+                    return attempts.give_up(0);
+                }
+            }
+            Step::Failed { number, vm, failure } => {
+                shared.log_attempt_failure(request, Some(&vm), &failure, false);
+                match attempts.is_counted(number) {
+                    true => attempts.counts.count_counted_failure(&failure),
+                    false => attempts.counts.count_failure(&failure),
+                }
+                if !attempts.continue_after(number, Some(&failure)) {
+                    return attempts.give_up(shared.options.turned_away_retry_after_ms);
                 }
-                shared.hub.metrics.repeat(failure.as_str());
             }
         }
     }
 }
 
-fn give_up(
-    request: &Request,
+/// What one attempt has reached.
+enum Step {
+    Placed { number: u32, placement: Placement },
+    Refused(Refusal),
+    Answered { number: u32, answer: EndpointAnswer },
+    Failed { number: u32, vm: VmName, failure: AttemptFailure },
+}
+
+/// The attempts of one request.
+struct Attempts<'a> {
+    shared: &'a Shared,
+    request: &'a Request,
+    open: FuturesUnordered<BoxFuture<'a, Step>>,
+    tried: Vec<VmName>,
+    counts: AttemptCounts,
+    /// The number of the newest attempt; the older ones are counted.
+    newest: u32,
     error_answer: Option<EndpointAnswer>,
-    counts: &AttemptCounts,
-    retry_after_ms: u64,
-) -> Result<Response<Body>, RequestFailure> {
-    match error_answer {
-        // The endpoint's error answer is more informative than the lack of another endpoint.
-        Some(answer) => Ok(caller_response(answer)),
-        None if counts.may_have_run() && request.left_ms() == 0 => Err(RequestFailure::TimedOut),
-        None if counts.may_have_run() => Err(RequestFailure::MayHaveRun),
-        None => Err(RequestFailure::NotRun { retry_after_ms }),
+}
+
+impl<'a> Attempts<'a> {
+    fn start(&mut self) {
+        self.newest += 1;
+        let number = self.newest;
+        let is_retry = self.counts.has_reached_endpoint();
+        let arrival = self.request.arrival(&self.tried, is_retry, false);
+        let shared: &'a Shared = self.shared;
+        let placing = async move {
+            match shared.hub.place(arrival).await {
+                Ok(placement) => Step::Placed { number, placement },
+                Err(refusal) => Step::Refused(refusal),
+            }
+        };
+        self.open.push(placing.boxed());
+    }
+
+    /// Whether an attempt was counted as a possible run when a newer one started beside it.
+    fn is_counted(&self, number: u32) -> bool {
+        number < self.newest
+    }
+
+    /// Whether another attempt is allowed beside the newest one.
+    fn allows_another(&self) -> bool {
+        self.counts.allows_retry_beside(self.request, 1)
+    }
+
+    /// Starts another attempt beside the newest one, whose answer is late.
+    fn start_beside_newest(&mut self) {
+        if self.allows_another() {
+            self.counts.count_possible_run();
+            self.shared.hub.metrics.repeat("late");
+            self.start();
+        }
+    }
+
+    /// Starts another attempt if the newest one has failed and the route allows it; returns whether
+    /// an attempt is open.
+    fn continue_after(&mut self, number: u32, failure: Option<&AttemptFailure>) -> bool {
+        if number == self.newest && self.counts.allows_retry(self.request) {
+            if let Some(failure) = failure {
+                self.shared.hub.metrics.repeat(failure.as_str());
+            }
+            self.start();
+        }
+        !self.open.is_empty()
+    }
+
+    fn give_up(self, retry_after_ms: u64) -> Result<Response<Body>, RequestFailure> {
+        match self.error_answer {
+            // The endpoint's error answer is more informative than the lack of another endpoint.
+            Some(answer) => Ok(caller_response(answer)),
+            None if self.counts.may_have_run() && self.request.left_ms() == 0 => {
+                Err(RequestFailure::TimedOut)
+            }
+            None if self.counts.may_have_run() => Err(RequestFailure::MayHaveRun),
+            None => Err(RequestFailure::NotRun { retry_after_ms }),
+        }
     }
 }
 
@@ -95,42 +191,38 @@
 async fn run_attempt(
     shared: &Shared,
     request: &Request,
+    number: u32,
     mut placement: Placement,
-    possible_runs: u32,
-) -> Result<EndpointAnswer, AttemptFailure> {
-    let may_repeat = request.route.kind.may_repeat();
-    let reuse = if may_repeat { Reuse::Allowed } else { Reuse::Never };
+) -> Step {
+    let reuse = if request.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
     let left = Duration::from_millis(request.left_ms());
-    // While a retry is allowed, trying another endpoint is better than waiting any longer.
-    let answer_timeout = match may_repeat && possible_runs + 1 < request.route.max_attempts {
-        true => left.min(Duration::from_millis(request.route.target_ms)),
-        false => left,
-    };
     let exchange = async {
-        let sent = attempt::send(shared, request, &placement, None, reuse, answer_timeout).await?;
+        let sent = attempt::send(shared, request, &placement.target, None, reuse).await?;
         read_answer(shared, sent).await
     };
-    let result = match timeout(answer_timeout, exchange).await {
+    let result = match timeout(left, exchange).await {
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::Broken(format!(
             "endpoint {}: no whole answer within {} ms",
             placement.target.address,
-            answer_timeout.as_millis()
+            left.as_millis()
         ))),
     };
-    match &result {
+    match result {
         Ok(answer) => {
             placement.progress();
-            let is_failure = answer.status.is_server_error();
-            placement.end(if is_failure {
-                AttemptOutcome::Failed
-            } else {
-                AttemptOutcome::Answered
+            placement.end(match answer.status.is_server_error() {
+                true => AttemptOutcome::Failed,
+                false => AttemptOutcome::Answered,
             });
+            Step::Answered { number, answer }
+        }
+        Err(failure) => {
+            let vm = placement.target.vm.clone();
+            placement.end(failure.outcome());
+            Step::Failed { number, vm, failure }
         }
-        Err(failure) => placement.end(failure.outcome()),
     }
-    result
 }
 
 /// Reads a complete answer and returns the connection to the pool if it ended properly.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,16 +3,21 @@
 //! Nothing is forwarded before the first event, so that an attempt without one can be retried.
 //! After that, a resumable stream is continued at another endpoint after the last event that was
 //! forwarded; the caller sees a single answer.
+//!
+//! An endpoint that is silent may go on at any moment, so silence starts another attempt but ends
+//! none: the first attempt that delivers an event ends the others. Without another attempt the
+//! answer ends when its endpoint breaks it off, or at the deadline. See
+//! `docs/incidents/lost-around-sigterm.md`.
 
+use std::future::poll_fn;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
-use balsam_http::Conn;
 use balsam_http::ReusableTimeout;
-use balsam_http::Splitter;
-use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::VmName;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -20,36 +25,32 @@
 use futures::stream;
 use http::HeaderMap;
 use http::Response;
-use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use slog::info;
+use tokio::time::Instant;
 
 use crate::answer::Body;
 use crate::answer::Broken;
 use crate::answer::EndpointAnswer;
 use crate::answer::RequestFailure;
 use crate::answer::caller_response;
-use crate::attempt;
 use crate::attempt::AttemptCounts;
 use crate::attempt::AttemptFailure;
-use crate::attempt::Reuse;
 use crate::clock::now_ms;
 use crate::front::Shared;
-use crate::hub::Placement;
 use crate::request::Request;
+use crate::upstream::MAX_EVENT_BYTES;
+use crate::upstream::Progress;
+use crate::upstream::Upstream;
 
-/// Timeout for the first event, which includes queueing and reading the prompt.
+/// Time without a first event after which another endpoint is tried, which includes queueing and
+/// reading the prompt.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Timeout between two events of an answer. A stalled group is detected sooner, from all its
-/// answers; this covers a single connection that stalls.
+/// Time between two events of an answer after which another endpoint is tried. A stalled group is
+/// detected sooner, from all its answers; this covers a single connection that stalls.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Maximum size of one event, and of the comments between two events.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
-
 /// Why a stream ended before its last event.
 enum StreamError {
     Refused(Refusal),
@@ -58,43 +59,33 @@
     Answer(Box<EndpointAnswer>),
 }
 
-/// The result of one read.
-enum ReadOutcome {
-    Data(Bytes),
-    End,
-    Lost(AttemptFailure),
-    TimedOut,
-}
-
-/// An answer that is being read from an endpoint.
-struct Upstream {
-    conn: Conn,
-    body: Incoming,
-    placement: Placement,
-    keep_alive: Duration,
-    /// Whether the answer states its end itself, by a length or chunks, rather than by the end of
-    /// the connection.
-    is_framed: bool,
-    splitter: Splitter,
-    /// Bytes since the last event with data.
-    bytes_since_data: usize,
-}
-
 /// Reads the events of one answer, from several endpoints if necessary.
 struct StreamReader {
     shared: Arc<Shared>,
     request: Arc<Request>,
-    upstream: Option<Upstream>,
+    /// The attempts that are open, from oldest to newest; all but the newest are superseded.
+    upstreams: Vec<Upstream>,
     tried: Vec<VmName>,
-    /// Failed attempts, which count against the limits.
+    /// Attempts that endpoints may have run or that failed, which count against the limits.
     counts: AttemptCounts,
     last_id: Option<u64>,
     has_events: bool,
+    /// Whether the caller has data without an id, after which no other endpoint can continue.
+    has_unnumbered_data: bool,
+    /// After a refusal, the time before which no further attempt starts beside a silent one.
+    retry_at: Option<Instant>,
     waited_ms: u64,
     read_timer: ReusableTimeout,
     timing: EventTiming,
 }
 
+/// The next part of an answer, with the headers of its endpoint; only those of the first part are
+/// used.
+enum Part {
+    Events { head: HeaderMap, events: Bytes },
+    End { head: HeaderMap },
+}
+
 /// When the events of one answer arrived.
 #[derive(Debug, Clone, Copy, Default)]
 struct EventTiming {
@@ -122,20 +113,20 @@
         shared: shared.clone(),
         last_id: request.last_event_id,
         request,
-        upstream: None,
+        upstreams: Vec::new(),
         tried: Vec::new(),
         counts: AttemptCounts::default(),
         has_events: false,
+        has_unnumbered_data: false,
+        retry_at: None,
         waited_ms: 0,
         read_timer: ReusableTimeout::default(),
         timing: EventTiming::default(),
     };
-    let opened = match reader.connect().await {
-        Ok(head) => reader.first_events(head).await,
-        Err(stream_error) => Err(stream_error),
-    };
-    match opened {
-        Ok((head, first_events)) => Ok(reader.into_response(head, first_events)),
+    reader.start_attempt();
+    match reader.next_part().await {
+        Ok(Part::Events { head, events }) => Ok(reader.into_response(head, Some(events))),
+        Ok(Part::End { head }) => Ok(reader.into_response(head, None)),
         Err(StreamError::Answer(answer)) => Ok(caller_response(*answer)),
         Err(StreamError::Failed(failure)) => Err(failure),
         Err(StreamError::Refused(refusal)) => {
@@ -157,9 +148,9 @@
             if has_ended {
                 return None;
             }
-            match reader.next_events().await {
-                Ok(Some(event)) => Some((Ok(event), (reader, false))),
-                Ok(None) => None,
+            match reader.next_part().await {
+                Ok(Part::Events { events, .. }) => Some((Ok(events), (reader, false))),
+                Ok(Part::End { .. }) => None,
                 Err(stream_error) => {
                     let cause = reader.log_stream_cut(&stream_error);
                     Some((Err(Broken { cause }), (reader, true)))
@@ -197,50 +188,175 @@
             "dropped_lines" => dropped);
     }
 
-    /// Waits for the first event; the caller gets the headers of the endpoint that sent it.
-    async fn first_events(
-        &mut self,
-        head: HeaderMap,
-    ) -> Result<(HeaderMap, Option<Bytes>), StreamError> {
-        let mut head = head;
+    /// Starts an attempt at an endpoint that was not tried yet.
+    fn start_attempt(&mut self) {
+        let is_retry = self.counts.has_reached_endpoint();
+        let arrival = self.request.arrival(&self.tried, is_retry, self.has_events);
+        let (shared, request) = (self.shared.clone(), self.request.clone());
+        self.retry_at = None;
+        self.upstreams.push(Upstream::start(shared, request, arrival, self.last_id));
+    }
+
+    /// Whether the route and the deadline allow another attempt beside the open ones.
+    fn may_try_elsewhere(&self) -> bool {
+        let uncounted = self.upstreams.iter().filter(|upstream| !upstream.is_superseded).count();
+        !self.has_unnumbered_data
+            && self.counts.allows_retry_beside(&self.request, uncounted as u32)
+    }
+
+    /// Starts another attempt because the newest one is silent or its group lost, if allowed.
+    fn try_elsewhere(&mut self, cause: &'static str) {
+        let may_try = self.may_try_elsewhere();
+        let Some(silent) = self.upstreams.last_mut() else { return };
+        if let Some(dropped) = self.shared.hub.log_limiter.take("attempt_silent") {
+            info!(self.shared.hub.log, "attempt is silent"; "kind" => "attempt_silent",
+                "request" => self.request.id_text(), "route" => %self.request.route.name,
+                "endpoint" => silent.vm().map(|vm| vm.as_str().to_owned()), "cause" => cause,
+                "silent_ms" => silent.progress_at.elapsed().as_millis() as u64,
+                "has_events" => silent.is_started(), "tries_elsewhere" => may_try,
+                "left_ms" => self.request.left_ms(), "dropped_lines" => dropped);
+        }
+        if !silent.is_superseded {
+            silent.is_superseded = true;
+            self.counts.count_possible_run();
+        }
+        if may_try {
+            self.shared.hub.metrics.repeat(cause);
+            self.start_attempt();
+        }
+    }
+
+    /// Returns when the newest attempt counts as silent; `None` if no other may be tried then.
+    fn silent_at(&self) -> Option<Instant> {
+        let newest = self.upstreams.last().filter(|upstream| upstream.is_placed())?;
+        let timeout = match self.has_events {
+            true => EVENT_TIMEOUT,
+            false => FIRST_EVENT_TIMEOUT,
+        };
+        let silent_at =
+            (newest.progress_at + timeout).max(self.retry_at.unwrap_or(newest.progress_at));
+        self.may_try_elsewhere().then_some(silent_at)
+    }
+
+    /// Returns the next events or the end of the answer.
+    async fn next_part(&mut self) -> Result<Part, StreamError> {
         loop {
-            match self.read_event().await {
-                Ok(event) => return Ok((head, event)),
-                Err(failure) => head = self.continue_elsewhere(failure).await?,
+            let left = Duration::from_millis(self.request.left_ms());
+            let silent_at = self.silent_at();
+            let silent_after = silent_at.map(|at| at.saturating_duration_since(Instant::now()));
+            let limit = silent_after.map_or(left, |after| after.min(left));
+            let upstreams = &mut self.upstreams;
+            let polled = poll_fn(|cx| poll_any(upstreams, cx));
+            let Some((index, progress)) = self.read_timer.wait(polled, limit).await else {
+                if self.request.left_ms() == 0 {
+                    return Err(StreamError::Failed(RequestFailure::TimedOut));
+                }
+                if self.silent_at().is_some_and(|at| Instant::now() >= at) {
+                    self.try_elsewhere("silent");
+                }
+                continue;
+            };
+            if let Some(part) = self.on_progress(index, progress)? {
+                return Ok(part);
             }
         }
     }
 
-    /// Returns the next events; `None` when the answer is complete.
-    async fn next_events(&mut self) -> Result<Option<Bytes>, StreamError> {
-        loop {
-            match self.read_event().await {
-                Ok(event) => return Ok(event),
-                Err(failure) => _ = self.continue_elsewhere(failure).await?,
+    /// Handles the progress of one attempt; returns what the caller gets next, if anything.
+    fn on_progress(
+        &mut self,
+        index: usize,
+        progress: Progress,
+    ) -> Result<Option<Part>, StreamError> {
+        match progress {
+            Progress::Placed { vm, waited } => {
+                self.waited_ms += waited.as_millis() as u64;
+                self.tried.push(vm);
+            }
+            Progress::Refused(refusal) => self.on_refusal(index, refusal)?,
+            Progress::GroupLost if index + 1 == self.upstreams.len() => {
+                self.try_elsewhere("group_lost");
             }
+            Progress::GroupLost => {}
+            Progress::Failed(failure) => self.on_failure(index, failure)?,
+            Progress::Answer(answer) => self.on_other_answer(index, answer)?,
+            Progress::Data => match self.take_events(index) {
+                Ok(Some(events)) => return Ok(Some(self.deliver(index, events))),
+                Ok(None) => {}
+                Err(failure) => self.on_failure(index, failure)?,
+            },
+            Progress::End => match end_failure(&self.upstreams[index]) {
+                Some(failure) => self.on_failure(index, failure)?,
+                None => return Ok(Some(self.complete(index))),
+            },
         }
+        Ok(None)
     }
 
-    /// Continues at another endpoint after a failure, if that is allowed.
-    async fn continue_elsewhere(&mut self, failure: ReadFailure) -> Result<HeaderMap, StreamError> {
-        let failure = match failure {
-            ReadFailure::TimedOut => return Err(StreamError::Failed(RequestFailure::TimedOut)),
-            ReadFailure::Attempt(failure) => failure,
-        };
-        self.record_failure(&failure)?;
-        self.connect().await
+    /// Ends the other attempts, as this one has delivered events.
+    fn deliver(&mut self, index: usize, events: Bytes) -> Part {
+        self.has_events = true;
+        self.timing.record(now_ms());
+        let mut upstream = self.upstreams.swap_remove(index);
+        self.end_all(AttemptOutcome::Broken);
+        if upstream.is_superseded {
+            // It is counted again if it ends without the rest of the answer.
+            upstream.is_superseded = false;
+            self.counts.uncount_possible_run();
+        }
+        let head = std::mem::take(&mut upstream.head);
+        self.upstreams.push(upstream);
+        Part::Events { head, events }
     }
 
-    /// Records a failed attempt; an error if no further attempt is allowed.
-    fn record_failure(&mut self, failure: &AttemptFailure) -> Result<(), StreamError> {
-        let has_events = self.upstream.as_ref().is_some_and(|u| u.placement.is_started());
-        self.shared.log_attempt_failure(&self.request, &self.tried, failure, has_events);
-        if let Some(upstream) = self.upstream.take() {
-            upstream.placement.end(failure.outcome());
+    fn end_all(&mut self, outcome: AttemptOutcome) {
+        for upstream in self.upstreams.drain(..) {
+            if upstream.is_placed() && !upstream.is_superseded {
+                self.counts.count_possible_run();
+            }
+            upstream.end(outcome);
         }
-        self.counts.count_failure(failure);
-        if self.counts.allows_retry(&self.request) {
+    }
+
+    fn on_refusal(&mut self, index: usize, refusal: Refusal) -> Result<(), StreamError> {
+        self.upstreams.remove(index);
+        // Of a group that is lost, an answer without an event is unlikely to begin: the caller
+        // does better to ask again.
+        let is_hopeless =
+            !self.has_events && self.upstreams.iter().all(|upstream| upstream.is_group_lost);
+        if self.upstreams.is_empty() || is_hopeless {
+            self.end_all(AttemptOutcome::Broken);
+            return Err(StreamError::Refused(refusal));
+        }
+        self.retry_at = Some(Instant::now() + EVENT_TIMEOUT);
+        Ok(())
+    }
+
+    /// Ends a failed attempt; starts another one if no other is open and the route allows it.
+    fn on_failure(&mut self, index: usize, failure: AttemptFailure) -> Result<(), StreamError> {
+        let upstream = self.upstreams.remove(index);
+        let (has_events, is_superseded) = (upstream.is_started(), upstream.is_superseded);
+        self.shared.log_attempt_failure(&self.request, upstream.vm(), &failure, has_events);
+        // A group that is lost ends its answers, which says nothing about this prompt.
+        let outcome = match (failure.outcome(), upstream.is_group_lost) {
+            (AttemptOutcome::Closed, true) => AttemptOutcome::Broken,
+            (outcome, _) => outcome,
+        };
+        upstream.end(outcome);
+        match is_superseded {
+            true => self.counts.count_counted_failure(&failure),
+            false => self.counts.count_failure(&failure),
+        }
+        let is_another_active = self.upstreams.iter().any(|upstream| !upstream.is_superseded);
+        if is_another_active {
+            return Ok(());
+        }
+        if self.may_try_elsewhere() {
             self.shared.hub.metrics.repeat(failure.as_str());
+            self.start_attempt();
+            return Ok(());
+        }
+        if !self.upstreams.is_empty() {
             return Ok(());
         }
         Err(StreamError::Failed(match self.counts.may_have_run() {
@@ -251,154 +367,46 @@
         }))
     }
 
-    /// Sends the request to endpoints until one starts a stream.
-    async fn connect(&mut self) -> Result<HeaderMap, StreamError> {
-        loop {
-            let is_retry = self.counts.has_reached_endpoint();
-            let arrival = self.request.arrival(&self.tried, is_retry, self.has_events);
-            let requested_at_ms = now_ms();
-            let placement = self.shared.hub.place(arrival).await.map_err(StreamError::Refused)?;
-            self.waited_ms += now_ms() - requested_at_ms;
-            self.tried.push(placement.target.vm.clone());
-            let left = Duration::from_millis(self.request.left_ms());
-            let answer_timeout = FIRST_EVENT_TIMEOUT.min(left);
-            let id = self.last_id;
-            let sent = attempt::send(
-                &self.shared,
-                &self.request,
-                &placement,
-                id,
-                Reuse::Allowed,
-                answer_timeout,
-            );
-            let (conn, response) = match sent.await {
-                Ok(answer) => answer,
-                Err(failure) => {
-                    placement.end(failure.outcome());
-                    self.record_failure(&failure)?;
-                    continue;
-                }
-            };
-            let (mut head, body) = response.into_parts();
-            let keep_alive =
-                attempt::keep_alive_duration(&head.headers, self.shared.options.endpoint_idle());
-            let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
-                || head.headers.contains_key(header::TRANSFER_ENCODING);
-            remove_hop_by_hop(&mut head.headers);
-            let upstream = Upstream {
-                conn,
-                body,
-                placement,
-                keep_alive,
-                is_framed,
-                splitter: Splitter::default(),
-                bytes_since_data: 0,
-            };
-            if head.status != StatusCode::OK {
-                match self.handle_other_answer(head.status, head.headers, upstream).await? {
-                    Some(stream_error) => return Err(stream_error),
-                    None => continue,
-                }
-            }
-            self.upstream = Some(upstream);
-            return Ok(head.headers);
-        }
-    }
-
-    /// Handles an answer that is not a stream: returns how the request ends, or `None` to retry it.
-    async fn handle_other_answer(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        mut upstream: Upstream,
-    ) -> Result<Option<StreamError>, StreamError> {
-        let mut collected = BytesMut::new();
-        loop {
-            match read(&mut upstream, &mut self.read_timer, &self.request, EVENT_TIMEOUT).await {
-                ReadOutcome::Data(data) if collected.len() + data.len() <= MAX_EVENT_BYTES => {
-                    collected.extend_from_slice(&data);
-                }
-                ReadOutcome::End => break,
-                ReadOutcome::TimedOut => return Err(StreamError::Failed(RequestFailure::TimedOut)),
-                ReadOutcome::Lost(failure) => {
-                    self.upstream = Some(upstream);
-                    self.record_failure(&failure)?;
-                    return Ok(None);
-                }
-                ReadOutcome::Data(_) => {
-                    self.upstream = Some(upstream);
-                    self.record_failure(&AttemptFailure::Faulty(
-                        "the answer exceeds the limit".to_owned(),
-                    ))?;
-                    return Ok(None);
-                }
-            }
-        }
-        self.shared.client.return_connection(upstream.conn, upstream.keep_alive);
-        upstream.placement.end(AttemptOutcome::Failed);
-        if status.is_server_error() {
-            let failure = AttemptFailure::Broken(format!("the endpoint answered {status}"));
-            let may_continue = self.request.route.kind.may_repeat();
-            if may_continue && self.record_failure(&failure).is_ok() {
-                return Ok(None);
-            }
+    /// Handles a whole answer that is not a stream.
+    fn on_other_answer(&mut self, index: usize, answer: EndpointAnswer) -> Result<(), StreamError> {
+        let upstream = self.upstreams.remove(index);
+        if !upstream.is_superseded {
+            self.counts.count_possible_run();
         }
-        if self.has_events {
-            return Ok(Some(StreamError::Failed(RequestFailure::MayHaveRun)));
+        if answer.status.is_server_error() && self.may_try_elsewhere() {
+            let failure =
+                AttemptFailure::Broken(format!("the endpoint answered {}", answer.status));
+            self.shared.log_attempt_failure(&self.request, upstream.vm(), &failure, false);
+            self.shared.hub.metrics.repeat(failure.as_str());
+            upstream.complete(AttemptOutcome::Failed);
+            self.start_attempt();
+            return Ok(());
         }
-        let answer = EndpointAnswer { status, headers, body: collected.freeze() };
-        Ok(Some(StreamError::Answer(Box::new(answer))))
-    }
-
-    /// Reads until at least one event is complete; returns all complete events.
-    async fn read_event(&mut self) -> Result<Option<Bytes>, ReadFailure> {
-        let event_timeout = if self.has_events { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
-        loop {
-            if let Some(events) = self.take_events()? {
-                self.has_events = true;
-                self.timing.record(now_ms());
-                return Ok(Some(events));
-            }
-            let Some(upstream) = &mut self.upstream else {
-                return Err(ReadFailure::broken("the connection is closed"));
-            };
-            match read(upstream, &mut self.read_timer, &self.request, event_timeout).await {
-                ReadOutcome::Data(data) => {
-                    upstream.splitter.push(data);
-                    if upstream.splitter.pending_bytes() > MAX_EVENT_BYTES {
-                        return Err(ReadFailure::faulty("an event exceeds the limit"));
-                    }
-                }
-                ReadOutcome::End if upstream.splitter.pending_bytes() > 0 => {
-                    return Err(ReadFailure::closed("the answer ended in the middle of an event"));
-                }
-                // A crash before the first event looks like the end of an empty answer.
-                ReadOutcome::End if !upstream.is_framed && !upstream.placement.is_started() => {
-                    return Err(ReadFailure::closed("the answer ended before its first event"));
-                }
-                ReadOutcome::End => {
-                    self.complete();
-                    return Ok(None);
-                }
-                ReadOutcome::Lost(failure) => return Err(ReadFailure::Attempt(failure)),
-                ReadOutcome::TimedOut => return Err(ReadFailure::TimedOut),
+        upstream.complete(AttemptOutcome::Failed);
+        match (self.has_events, self.upstreams.is_empty()) {
+            (true, false) => Ok(()),
+            (true, true) => Err(StreamError::Failed(RequestFailure::MayHaveRun)),
+            (false, _) => {
+                self.end_all(AttemptOutcome::Broken);
+                Err(StreamError::Answer(Box::new(answer)))
             }
         }
     }
 
-    /// Takes the complete events that the caller does not have yet.
-    fn take_events(&mut self) -> Result<Option<Bytes>, ReadFailure> {
-        let Some(upstream) = &mut self.upstream else { return Ok(None) };
+    /// Takes the complete events of an attempt that the caller does not have yet.
+    fn take_events(&mut self, index: usize) -> Result<Option<Bytes>, AttemptFailure> {
+        let upstream = &mut self.upstreams[index];
         let mut events: Option<Bytes> = None;
         let mut joined = BytesMut::new();
         while let Some(event) = upstream.splitter.next_event() {
             if event.has_data || event.id.is_some() {
-                upstream.placement.progress();
+                upstream.record_event();
                 upstream.bytes_since_data = 0;
             } else {
                 upstream.bytes_since_data += event.raw.len();
                 if upstream.bytes_since_data > MAX_EVENT_BYTES {
-                    return Err(ReadFailure::faulty("comments between events exceed the limit"));
+                    let cause = "comments between events exceed the limit".to_owned();
+                    return Err(AttemptFailure::Faulty(cause));
                 }
             }
             if let Some(id) = event.id {
@@ -406,11 +414,12 @@
                     continue;
                 }
                 if let Some(last) = self.last_id.filter(|last| id != last + 1) {
-                    return Err(ReadFailure::broken(&format!(
-                        "received event {id} after event {last}"
-                    )));
+                    let cause = format!("received event {id} after event {last}");
+                    return Err(AttemptFailure::Broken(cause));
                 }
                 self.last_id = Some(id);
+            } else if event.has_data {
+                self.has_unnumbered_data = true;
             }
             match &events {
                 None => events = Some(event.raw),
@@ -425,14 +434,15 @@
         Ok(if joined.is_empty() { events } else { Some(joined.freeze()) })
     }
 
-    /// Ends a complete answer and returns its connection to the pool.
-    fn complete(&mut self) {
-        if let Some(upstream) = self.upstream.take() {
-            upstream.placement.end(AttemptOutcome::Answered);
-            self.shared.client.return_connection(upstream.conn, upstream.keep_alive);
-        }
+    /// Ends a complete answer and the other attempts.
+    fn complete(&mut self, index: usize) -> Part {
+        let mut upstream = self.upstreams.swap_remove(index);
+        self.end_all(AttemptOutcome::Broken);
+        let head = std::mem::take(&mut upstream.head);
+        upstream.complete(AttemptOutcome::Answered);
         self.shared.hub.metrics.answer("stream");
         self.log_if_late();
+        Part::End { head }
     }
 
     /// Logs a complete answer that missed its latency targets.
@@ -455,59 +465,25 @@
     }
 }
 
-/// Why no event could be read.
-enum ReadFailure {
-    Attempt(AttemptFailure),
-    TimedOut,
-}
-
-impl ReadFailure {
-    fn closed(cause: &str) -> Self {
-        Self::Attempt(AttemptFailure::Closed(cause.to_owned()))
-    }
-
-    fn broken(cause: &str) -> Self {
-        Self::Attempt(AttemptFailure::Broken(cause.to_owned()))
-    }
-
-    fn faulty(cause: &str) -> Self {
-        Self::Attempt(AttemptFailure::Faulty(cause.to_owned()))
+/// Polls the attempts; returns the progress of the first that has made some, with its index.
+fn poll_any(upstreams: &mut [Upstream], cx: &mut Context<'_>) -> Poll<(usize, Progress)> {
+    for (index, upstream) in upstreams.iter_mut().enumerate() {
+        if let Poll::Ready(progress) = upstream.poll(cx) {
+            return Poll::Ready((index, progress));
+        }
     }
+    Poll::Pending
 }
 
-/// Reads the next chunk of an answer.
-async fn read(
-    upstream: &mut Upstream,
-    read_timer: &mut ReusableTimeout,
-    request: &Request,
-    event_timeout: Duration,
-) -> ReadOutcome {
-    let left = Duration::from_millis(request.left_ms());
-    let Upstream { conn, body, placement, .. } = upstream;
-    let next_chunk = async {
-        loop {
-            match conn.driver.drive(body.frame()).await {
-                None => return ReadOutcome::End,
-                Some(Err(error)) => return ReadOutcome::Lost(attempt::body_read_failure(&error)),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return ReadOutcome::Data(data);
-                    }
-                }
-            }
-        }
+/// Returns why a stream that ended is not complete.
+fn end_failure(upstream: &Upstream) -> Option<AttemptFailure> {
+    let cause = if upstream.splitter.pending_bytes() > 0 {
+        "the answer ended in the middle of an event"
+    } else if !upstream.is_framed && !upstream.is_started() {
+        // A crash before the first event looks like the end of an empty answer.
+        "the answer ended before its first event"
+    } else {
+        return None;
     };
-    let abandoned = placement.abandoned.clone();
-    let read_or_abandoned = async {
-        tokio::select! {
-            biased;
-            read = next_chunk => read,
-            () = abandoned.notified() => ReadOutcome::Lost(AttemptFailure::Abandoned),
-        }
-    };
-    match read_timer.wait(read_or_abandoned, event_timeout.min(left)).await {
-        Some(read) => read,
-        None if left <= event_timeout => ReadOutcome::TimedOut,
-        None => ReadOutcome::Lost(AttemptFailure::Broken("the connection stalled".to_owned())),
-    }
+    Some(AttemptFailure::Closed(cause.to_owned()))
 }
--- /dev/null
+++ b/crates/relay/src/upstream.rs
@@ -0,0 +1,290 @@
+//! One attempt of a streamed request: from its placement to the end of the endpoint's answer.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use balsam_fleet::Refusal;
+use balsam_fleet::event::AttemptOutcome;
+use balsam_http::Conn;
+use balsam_http::Splitter;
+use balsam_http::headers::remove_hop_by_hop;
+use balsam_types::VmName;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::answer::EndpointAnswer;
+use crate::attempt;
+use crate::attempt::AttemptFailure;
+use crate::attempt::Reuse;
+use crate::front::Shared;
+use crate::hub::Advice;
+use crate::hub::Placement;
+use crate::request::Request;
+
+/// Maximum size of one event, and of the comments between two events.
+pub(crate) const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// What an attempt has reached.
+pub(crate) enum Progress {
+    /// The request was assigned to an endpoint after this time.
+    Placed { vm: VmName, waited: Duration },
+    /// Bytes of the stream arrived.
+    Data,
+    /// The stream ended.
+    End,
+    /// No endpoint takes the request.
+    Refused(Refusal),
+    /// The endpoint gave a whole answer that is not a stream.
+    Answer(EndpointAnswer),
+    /// The attempt failed.
+    Failed(AttemptFailure),
+    /// The endpoint's group is considered lost.
+    GroupLost,
+}
+
+type SendResult = Result<(Conn, Response<Incoming>), AttemptFailure>;
+
+enum Stage {
+    Placing(BoxFuture<'static, Result<Placement, Refusal>>),
+    Sending(BoxFuture<'static, SendResult>),
+    Streaming {
+        conn: Conn,
+        body: Incoming,
+    },
+    /// The answer is not a stream and is collected whole.
+    Collecting {
+        conn: Conn,
+        body: Incoming,
+        status: StatusCode,
+        bytes: BytesMut,
+    },
+    Ended,
+}
+
+/// An attempt whose answer is being read from an endpoint.
+pub(crate) struct Upstream {
+    shared: Arc<Shared>,
+    request: Arc<Request>,
+    last_event_id: Option<u64>,
+    stage: Stage,
+    placement: Option<Placement>,
+    /// The headers of the answer, without those of the connection.
+    pub head: HeaderMap,
+    keep_alive: Duration,
+    /// Whether the answer states its end itself, by a length or chunks, rather than by the end of
+    /// the connection.
+    pub is_framed: bool,
+    /// The bytes of the stream that were not taken yet.
+    pub splitter: Splitter,
+    /// Bytes since the last event with data.
+    pub bytes_since_data: usize,
+    /// When the endpoint was last heard of by this attempt.
+    pub progress_at: Instant,
+    /// Whether another attempt is tried because this one is silent.
+    pub is_superseded: bool,
+    /// Whether the fleet considers the endpoint's group lost.
+    pub is_group_lost: bool,
+}
+
+impl Upstream {
+    /// Starts an attempt, which continues after an event if the caller has it.
+    pub fn start(
+        shared: Arc<Shared>,
+        request: Arc<Request>,
+        arrival: balsam_fleet::Arrival,
+        last_event_id: Option<u64>,
+    ) -> Self {
+        let hub = shared.hub.clone();
+        Self {
+            shared,
+            request,
+            last_event_id,
+            stage: Stage::Placing(async move { hub.place(arrival).await }.boxed()),
+            placement: None,
+            head: HeaderMap::new(),
+            keep_alive: Duration::ZERO,
+            is_framed: false,
+            splitter: Splitter::default(),
+            bytes_since_data: 0,
+            progress_at: Instant::now(),
+            is_superseded: false,
+            is_group_lost: false,
+        }
+    }
+
+    /// Whether the request was assigned to an endpoint.
+    pub fn is_placed(&self) -> bool {
+        self.placement.is_some()
+    }
+
+    /// Whether an event of the answer arrived.
+    pub fn is_started(&self) -> bool {
+        self.placement.as_ref().is_some_and(Placement::is_started)
+    }
+
+    /// Returns the endpoint, if the request was assigned to one.
+    pub fn vm(&self) -> Option<&VmName> {
+        self.placement.as_ref().map(|placement| &placement.target.vm)
+    }
+
+    /// Records that an event of the answer arrived.
+    pub fn record_event(&mut self) {
+        if let Some(placement) = &mut self.placement {
+            placement.progress();
+        }
+    }
+
+    /// Ends the attempt with this outcome and closes its connection.
+    pub fn end(self, outcome: AttemptOutcome) {
+        if let Some(placement) = self.placement {
+            placement.end(outcome);
+        }
+    }
+
+    /// Ends an attempt whose answer was read to its end and returns its connection to the pool.
+    pub fn complete(self, outcome: AttemptOutcome) {
+        if let Some(placement) = self.placement {
+            placement.end(outcome);
+        }
+        if let Stage::Streaming { conn, .. } | Stage::Collecting { conn, .. } = self.stage {
+            self.shared.client.return_connection(conn, self.keep_alive);
+        }
+    }
+
+    /// Polls for the next progress.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Progress> {
+        let progress = self.poll_answer(cx);
+        if progress.is_ready() {
+            self.progress_at = Instant::now();
+            return progress;
+        }
+        let Some(placement) = &mut self.placement else { return Poll::Pending };
+        Poll::Ready(match ready!(placement.poll_advice(cx)) {
+            Advice::TryElsewhere => {
+                self.is_group_lost = true;
+                Progress::GroupLost
+            }
+            Advice::Withdraw => Progress::Failed(AttemptFailure::Withdrawn),
+        })
+    }
+
+    fn poll_answer(&mut self, cx: &mut Context<'_>) -> Poll<Progress> {
+        loop {
+            match &mut self.stage {
+                Stage::Placing(placing) => {
+                    let placement = match ready!(placing.poll_unpin(cx)) {
+                        Ok(placement) => placement,
+                        Err(refusal) => {
+                            self.stage = Stage::Ended;
+                            return Poll::Ready(Progress::Refused(refusal));
+                        }
+                    };
+                    let vm = placement.target.vm.clone();
+                    self.stage = Stage::Sending(self.send(&placement));
+                    self.placement = Some(placement);
+                    let waited = self.progress_at.elapsed();
+                    return Poll::Ready(Progress::Placed { vm, waited });
+                }
+                Stage::Sending(sending) => match ready!(sending.poll_unpin(cx)) {
+                    Ok((conn, response)) => self.read_head(conn, response),
+                    Err(failure) => {
+                        self.stage = Stage::Ended;
+                        return Poll::Ready(Progress::Failed(failure));
+                    }
+                },
+                Stage::Streaming { conn, body } => {
+                    let progress = match ready!(poll_chunk(conn, body, cx)) {
+                        Ok(Some(data)) => {
+                            self.splitter.push(data);
+                            match self.splitter.pending_bytes() <= MAX_EVENT_BYTES {
+                                true => Progress::Data,
+                                false => faulty("an event exceeds the limit"),
+                            }
+                        }
+                        Ok(None) => Progress::End,
+                        Err(failure) => Progress::Failed(failure),
+                    };
+                    return Poll::Ready(progress);
+                }
+                Stage::Collecting { conn, body, status, bytes } => {
+                    match ready!(poll_chunk(conn, body, cx)) {
+                        Ok(Some(data)) if bytes.len() + data.len() <= MAX_EVENT_BYTES => {
+                            bytes.extend_from_slice(&data);
+                        }
+                        Ok(Some(_)) => return Poll::Ready(faulty("the answer exceeds the limit")),
+                        Ok(None) => {
+                            return Poll::Ready(Progress::Answer(EndpointAnswer {
+                                status: *status,
+                                headers: std::mem::take(&mut self.head),
+                                body: std::mem::take(bytes).freeze(),
+                            }));
+                        }
+                        Err(failure) => return Poll::Ready(Progress::Failed(failure)),
+                    }
+                }
+                Stage::Ended => return Poll::Pending,
+            }
+        }
+    }
+
+    fn send(&self, placement: &Placement) -> BoxFuture<'static, SendResult> {
+        let (shared, request) = (self.shared.clone(), self.request.clone());
+        let (target, last_event_id) = (placement.target.clone(), self.last_event_id);
+        let sending = async move {
+            attempt::send(&shared, &request, &target, last_event_id, Reuse::Allowed).await
+        };
+        sending.boxed()
+    }
+
+    fn read_head(&mut self, conn: Conn, response: Response<Incoming>) {
+        let (head, body) = response.into_parts();
+        self.head = head.headers;
+        self.keep_alive =
+            attempt::keep_alive_duration(&self.head, self.shared.options.endpoint_idle());
+        self.is_framed = self.head.contains_key(header::CONTENT_LENGTH)
+            || self.head.contains_key(header::TRANSFER_ENCODING);
+        remove_hop_by_hop(&mut self.head);
+        self.progress_at = Instant::now();
+        self.stage = match head.status {
+            StatusCode::OK => Stage::Streaming { conn, body },
+            status => Stage::Collecting { conn, body, status, bytes: BytesMut::new() },
+        };
+    }
+}
+
+fn faulty(cause: &str) -> Progress {
+    Progress::Failed(AttemptFailure::Faulty(cause.to_owned()))
+}
+
+/// Reads the next chunk of a body; `None` at its end.
+fn poll_chunk(
+    conn: &mut Conn,
+    body: &mut Incoming,
+    cx: &mut Context<'_>,
+) -> Poll<Result<Option<Bytes>, AttemptFailure>> {
+    loop {
+        // Neither future keeps state between polls.
+        match ready!(pin!(conn.driver.drive(body.frame())).poll(cx)) {
+            None => return Poll::Ready(Ok(None)),
+            Some(Err(error)) => return Poll::Ready(Err(attempt::body_read_failure(&error))),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Poll::Ready(Ok(Some(data)));
+                }
+            }
+        }
+    }
+}
