Send streams that may run only once on new connections

Callers saw: a stream that may not be resumed ran at two endpoints, or was answered 503 ("not run, try again") although an endpoint ran it.

Cause: streams always used pooled connections, and a refusal without a request id counts as the endpoint's refusal of the request that was sent last. An endpoint that writes an earlier refusal once more on a kept connection, where the answer to the next request is due, thus made the node take the next stream for one that did not run. A repeated refusal with the id of the earlier request was recognised, but failed the stream with 502. Plain requests that may run only once already opened new connections.

Fix: whether a pooled connection may be used follows from the kind of the route in attempt::send, for streams as for plain requests. No answer to an earlier request can arrive on a new connection. Client::send takes the choice, so that a new connection that is reset before anything was written counts as not sent for plain requests too.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -62,6 +62,15 @@
     TimedOut,
 }
 
+/// Whether a request may use a pooled connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// A pooled connection may be used.
+    Allowed,
+    /// A new connection is opened, on which no answer to an earlier request can arrive.
+    Never,
+}
+
 /// An open connection; dropping it closes the socket.
 pub struct Conn {
     address: SocketAddr,
@@ -145,11 +154,16 @@
         &self,
         address: SocketAddr,
         request: &Request<Full<Bytes>>,
+        reuse: Reuse,
         response_timeout: Duration,
         may_write: impl Fn() -> bool,
     ) -> Result<(Conn, Response<Incoming>), SendError> {
         loop {
-            let (mut conn, is_pooled) = match self.checkout(address).await {
+            let pooled = match reuse {
+                Reuse::Allowed => self.checkout(address).await,
+                Reuse::Never => None,
+            };
+            let (mut conn, is_pooled) = match pooled {
                 Some(conn) => (conn, true),
                 None => (self.connect(address).await?, false),
             };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::Conn;
+pub use client::Reuse;
 pub use client::SendError;
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
+use balsam_http::Reuse;
 use balsam_http::SendError;
 use balsam_types::VmName;
 use http::HeaderMap;
@@ -127,34 +128,22 @@
     }
 }
 
-/// Whether a pooled connection may be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reuse {
-    /// A pooled connection may be reused.
-    Allowed,
-    /// Open a new connection: a request lost on a stale one could not be sent again.
-    Never,
-}
-
 /// Sends a request and waits for the headers of the answer.
+///
+/// A request that may run only once gets a new connection: if it were lost on a stale one, it could
+/// not be sent again, and an earlier refusal that the endpoint repeats there would be taken for its
+/// own, so that it would run a second time elsewhere.
 pub(crate) async fn send(
     shared: &Shared,
     request: &Request,
     placement: &Placement,
     last_event_id: Option<u64>,
-    reuse: Reuse,
     answer_timeout: Duration,
 ) -> Result<(Conn, Response<Incoming>), AttemptFailure> {
     let outgoing = build_request(shared, request, placement, last_event_id);
     let address = placement.target.address;
-    let exchange = async {
-        match reuse {
-            Reuse::Allowed => shared.client.send(address, &outgoing, answer_timeout, || true).await,
-            Reuse::Never => {
-                shared.client.send_on_new_connection(address, outgoing, answer_timeout).await
-            }
-        }
-    };
+    let reuse = if request.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
+    let exchange = shared.client.send(address, &outgoing, reuse, answer_timeout, || true);
     let sent = tokio::select! {
         sent = exchange => sent,
         () = placement.abandoned.notified() => return Err(AttemptFailure::Abandoned),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -21,7 +21,6 @@
 use crate::attempt;
 use crate::attempt::AttemptCounts;
 use crate::attempt::AttemptFailure;
-use crate::attempt::Reuse;
 use crate::front::Shared;
 use crate::hub::Placement;
 use crate::request::Request;
@@ -99,7 +98,6 @@
     possible_runs: u32,
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let may_repeat = request.route.kind.may_repeat();
-    let reuse = if may_repeat { Reuse::Allowed } else { Reuse::Never };
     let left = Duration::from_millis(request.left_ms());
     // While a retry is allowed, trying another endpoint is better than waiting any longer.
     let answer_timeout = match may_repeat && possible_runs + 1 < request.route.max_attempts {
@@ -107,7 +105,7 @@
         false => left,
     };
     let exchange = async {
-        let sent = attempt::send(shared, request, &placement, None, reuse, answer_timeout).await?;
+        let sent = attempt::send(shared, request, &placement, None, answer_timeout).await?;
         read_answer(shared, sent).await
     };
     let result = match timeout(answer_timeout, exchange).await {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -34,7 +34,6 @@
 use crate::attempt;
 use crate::attempt::AttemptCounts;
 use crate::attempt::AttemptFailure;
-use crate::attempt::Reuse;
 use crate::clock::now_ms;
 use crate::front::Shared;
 use crate::hub::Placement;
@@ -249,14 +248,7 @@
             let left = Duration::from_millis(self.request.left_ms());
             let answer_timeout = FIRST_EVENT_TIMEOUT.min(left);
             let id = self.last_id;
-            let sent = attempt::send(
-                &self.shared,
-                &self.request,
-                &placement,
-                id,
-                Reuse::Allowed,
-                answer_timeout,
-            );
+            let sent = attempt::send(&self.shared, &self.request, &placement, id, answer_timeout);
             let (conn, response) = match sent.await {
                 Ok(answer) => answer,
                 Err(failure) => {
--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -8,6 +8,7 @@
 use balsam_http::Conn;
 use balsam_http::Event;
 use balsam_http::ReusableTimeout;
+use balsam_http::Reuse;
 use balsam_http::SendError;
 use balsam_http::Splitter;
 use balsam_http::client::error_chain;
@@ -73,7 +74,10 @@
         let is_claim_valid = call.dispatch_until_ms.is_none_or(|until_ms| now_ms < until_ms);
         is_permit_valid && is_claim_valid && now_ms < call.deadline_ms
     };
-    let sent = shared.client.send(group.address, &request, head_timeout, may_dispatch).await;
+    let sent = shared
+        .client
+        .send(group.address, &request, Reuse::Allowed, head_timeout, may_dispatch)
+        .await;
     let (conn, response) = sent.map_err(|error| {
         let mut failed = send_failure(shared, group.address, error);
         if shared.time_left(call.deadline_ms).is_zero() {
