Answer 502 where an endpoint does not state that a request did not run

Callers saw: 503, 429 or 408 for a request that may run only once and that an endpoint ran. Callers take these statuses as the promise that the request did not run and never will, and send it again.

Cause: an endpoint's own answer was passed on with its status. Endpoints state with a header that they did not run a request; a 503, 429 or 408 without that header was passed on as well.

Evidence: platform/tests/path/unstated_refusals.rs, for streams that may not be resumed and for plain requests. All six cases failed before this change: the caller got 503, 429 or 408 instead of 502.

Fix: for a request that may run only once, such an answer counts as an invalid answer after a possible run. The caller gets 502 without the endpoint's seal, which vouches for the endpoint's own status only. Requests that may be repeated still get the endpoint's answer.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -206,6 +206,10 @@
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run) {
         return Err(AttemptFailure::TurnedAway(status));
     }
+    if promises_not_run(status) && !request.route.kind.may_repeat() {
+        let cause = format!("{status} without a statement that the request did not run");
+        return Err(AttemptFailure::Faulty(cause));
+    }
     let is_sealed =
         headers.contains_key(&dialect.seal) && headers.contains_key(&dialect.request_id);
     let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
@@ -217,6 +221,17 @@
     Ok(())
 }
 
+/// Whether callers take a status as the promise that the request did not run and never will. An
+/// endpoint makes this promise only with the header that states it.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn build_request(
     shared: &Shared,
     request: &Request,
