Reject answers without an id on connections that were used before

Callers saw: 404 or 429 for a request that may be repeated, although no endpoint gave that answer to it: an endpoint had repeated the answer to an earlier request, without an id, where the answer to this one was due.

Cause: an answer without a request id counted as the answer to the request that was sent last, also on a connection that had served an earlier one.

Evidence: the cases other_status and no_statement of a_request_that_may_be_repeated_is_answered_elsewhere failed before this change with 404 and 429 instead of 200, for resumable streams and for plain requests.

Fix: on a reused connection, an answer must carry the id of the request, as endpoints echo it; otherwise it is invalid, and the request, which may be repeated, is sent to another endpoint. Refusals are excepted. Full endpoints refuse without an id, and a wrong guess does no harm: only requests that may be repeated use pooled connections.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -74,11 +74,20 @@
 /// An open connection; dropping it closes the socket.
 pub struct Conn {
     address: SocketAddr,
+    is_reused: bool,
     sender: http1::SendRequest<Full<Bytes>>,
     /// Performs the I/O of the connection.
     pub driver: Driver,
 }
 
+impl Conn {
+    /// Whether the connection was used for an earlier request, so that what arrives on it may be a
+    /// second answer to that request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
 impl std::fmt::Debug for Conn {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Conn").field("address", &self.address).finish_non_exhaustive()
@@ -208,7 +217,7 @@
         let (sender, connection) =
             connected.unwrap_or_else(|_| Err(SendError::NotWritten(not_written(&"timed out"))))?;
         let driver = Driver(Some(Box::pin(connection)));
-        Ok(Conn { address, sender, driver })
+        Ok(Conn { address, is_reused: false, sender, driver })
     }
 
     /// Sends a request over a new connection, for example after a pooled one timed out.
@@ -277,7 +286,7 @@
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
             if Instant::now() < entry.expires_at {
-                return Some(entry.conn);
+                return Some(Conn { is_reused: true, ..entry.conn });
             }
         }
         None
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -156,7 +156,7 @@
         SendError::TimedOut => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
     report_endpoint_state(shared, &placement.target.vm, &response);
-    validate_answer(shared, request, &response)?;
+    validate_answer(shared, request, conn.is_reused(), &response)?;
     Ok((conn, response))
 }
 
@@ -193,17 +193,25 @@
 fn validate_answer(
     shared: &Shared,
     request: &Request,
+    is_reused: bool,
     response: &Response<Incoming>,
 ) -> Result<(), AttemptFailure> {
     let dialect = &shared.dialect;
     let headers = response.headers();
     let status = response.status();
-    // A late second answer to an earlier request carries that request's id.
-    let is_own = headers.get(&dialect.request_id).is_none_or(|id| *id == request.id);
+    let is_refusal =
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run);
+    // A late second answer to an earlier request carries that request's id or none. A refusal
+    // without an id is believed even on a reused connection: only requests that may be repeated use
+    // one, and full endpoints refuse without an id.
+    let is_own = match headers.get(&dialect.request_id) {
+        Some(id) => *id == request.id,
+        None => is_refusal || !is_reused,
+    };
     if !is_own {
         return Err(AttemptFailure::Faulty("the answer belongs to another request".to_owned()));
     }
-    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run) {
+    if is_refusal {
         return Err(AttemptFailure::TurnedAway(status));
     }
     if promises_not_run(status) && !request.route.kind.may_repeat() {
