Believe a declared "not run" status only on a new connection

Callers saw, on the product's own interface: a request that is not idempotent ran at two endpoints, or its caller was told `not_run` although the endpoint ran it. A key was released in that case, so that a repeat ran once more.

Cause: all requests used pooled connections, and a status that the pool declares as "not run" was believed there. An endpoint that writes an earlier refusal once more, where the answer to the next request is due, made that request count as one that did not run. Endpoints of this interface do not name the request that they answer.

Evidence: crates/serve/tests/serve/repeated_refusals.rs with an endpoint over raw TCP. Before this change: 3 runs instead of 2 for two requests, with another endpoint; 503 instead of 200 without one, also with a key; and `not_run` instead of `unknown` for an idempotent request.

Fix: requests that are not idempotent, and requests with a key, open new connections. For the other idempotent requests, a declared status on a reused connection has the outcome `unknown`; they are retried as before.

--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -74,10 +74,9 @@
         let is_claim_valid = call.dispatch_until_ms.is_none_or(|until_ms| now_ms < until_ms);
         is_permit_valid && is_claim_valid && now_ms < call.deadline_ms
     };
-    let sent = shared
-        .client
-        .send(group.address, &request, Reuse::Allowed, head_timeout, may_dispatch)
-        .await;
+    let exchange =
+        shared.client.send(group.address, &request, reuse(call), head_timeout, may_dispatch);
+    let sent = exchange.await;
     let (conn, response) = sent.map_err(|error| {
         let mut failed = send_failure(shared, group.address, error);
         if shared.time_left(call.deadline_ms).is_zero() {
@@ -88,12 +87,9 @@
     })?;
     if spec.not_run_statuses.contains(&response.status().as_u16()) {
         let detail = format!("endpoint {} answered {}", group.address, response.status());
-        return Err(endpoint_failure(
-            Outcome::NotRun,
-            ProblemKind::EndpointBusy,
-            detail,
-            group.address,
-        ));
+        // On a reused connection, this may be a second answer to an earlier request.
+        let outcome = if conn.is_reused() { Outcome::Unknown } else { Outcome::NotRun };
+        return Err(endpoint_failure(outcome, ProblemKind::EndpointBusy, detail, group.address));
     }
     let address = group.address;
     let guards = (permit, target.in_flight);
@@ -132,6 +128,16 @@
     })
 }
 
+/// Whether a request may use a pooled connection. A refusal that arrives there does not show that
+/// the request did not run, so a request that may run only once, and one whose key is released only
+/// if it did not run, need a new connection.
+fn reuse(call: &Call) -> Reuse {
+    match call.idempotent && call.claim_offset.is_none() {
+        true => Reuse::Allowed,
+        false => Reuse::Never,
+    }
+}
+
 /// Returns how long the endpoint may send nothing. An engine sends keep-alive comments while it
 /// streams, but nothing before a non-streamed answer is complete.
 fn silence_limit(shared: &Shared, kind: PoolKind, call: &Call) -> Duration {
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -5,6 +5,7 @@
 mod compare;
 mod keyed;
 mod limits;
+mod repeated_refusals;
 mod shutdown;
 mod streams;
 mod support;
