--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -62,14 +62,32 @@
     TimedOut,
 }
 
+/// Whether a request may use a pooled connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// A pooled connection may be used.
+    Allowed,
+    /// A new connection is opened, on which no answer to an earlier request can arrive.
+    Never,
+}
+
 /// An open connection; dropping it closes the socket.
 pub struct Conn {
     address: SocketAddr,
+    is_reused: bool,
     sender: http1::SendRequest<Full<Bytes>>,
     /// Performs the I/O of the connection.
     pub driver: Driver,
 }
 
+impl Conn {
+    /// Whether the connection was used for an earlier request, so that what arrives on it may be a
+    /// second answer to that request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
 impl std::fmt::Debug for Conn {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Conn").field("address", &self.address).finish_non_exhaustive()
@@ -145,11 +163,16 @@
         &self,
         address: SocketAddr,
         request: &Request<Full<Bytes>>,
+        reuse: Reuse,
         response_timeout: Duration,
         may_write: impl Fn() -> bool,
     ) -> Result<(Conn, Response<Incoming>), SendError> {
         loop {
-            let (mut conn, is_pooled) = match self.checkout(address).await {
+            let pooled = match reuse {
+                Reuse::Allowed => self.checkout(address).await,
+                Reuse::Never => None,
+            };
+            let (mut conn, is_pooled) = match pooled {
                 Some(conn) => (conn, true),
                 None => (self.connect(address).await?, false),
             };
@@ -194,7 +217,7 @@
         let (sender, connection) =
             connected.unwrap_or_else(|_| Err(SendError::NotWritten(not_written(&"timed out"))))?;
         let driver = Driver(Some(Box::pin(connection)));
-        Ok(Conn { address, sender, driver })
+        Ok(Conn { address, is_reused: false, sender, driver })
     }
 
     /// Sends a request over a new connection, for example after a pooled one timed out.
@@ -263,7 +286,7 @@
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
             if Instant::now() < entry.expires_at {
-                return Some(entry.conn);
+                return Some(Conn { is_reused: true, ..entry.conn });
             }
         }
         None
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,6 +6,7 @@
 use balsam_fleet::Target;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
+use balsam_http::Reuse;
 use balsam_http::SendError;
 use balsam_types::VmName;
 use http::HeaderMap;
@@ -140,30 +141,22 @@
     }
 }
 
-/// Whether a pooled connection may be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reuse {
-    /// A pooled connection may be reused.
-    Allowed,
-    /// Open a new connection: a request lost on a stale one could not be sent again.
-    Never,
-}
-
 /// Sends a request and waits for the headers of the answer until the request's deadline.
+///
+/// A request that may run only once gets a new connection: if it were lost on a stale one, it could
+/// not be sent again, and an earlier refusal that the endpoint repeats there would be taken for its
+/// own, so that it would run a second time elsewhere.
 pub(crate) async fn send(
     shared: &Shared,
     request: &Request,
     target: &Target,
     last_event_id: Option<u64>,
-    reuse: Reuse,
 ) -> Result<(Conn, Response<Incoming>), AttemptFailure> {
     let outgoing = build_request(shared, request, target, last_event_id);
     let address = target.address;
     let left = Duration::from_millis(request.left_ms());
-    let sent = match reuse {
-        Reuse::Allowed => shared.client.send(address, &outgoing, left, || true).await,
-        Reuse::Never => shared.client.send_on_new_connection(address, outgoing, left).await,
-    };
+    let reuse = if request.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
+    let sent = shared.client.send(address, &outgoing, reuse, left, || true).await;
     let (conn, response) = sent.map_err(|error| match error {
         SendError::NotWritten(cause) | SendError::Refused(cause) => AttemptFailure::NotSent(cause),
         SendError::NotAllowed => AttemptFailure::NotSent("sending was not allowed".to_owned()),
@@ -172,7 +165,7 @@
         SendError::TimedOut => AttemptFailure::Broken(format!("endpoint {address}: no answer")),
     })?;
     report_endpoint_state(shared, &target.vm, &response);
-    validate_answer(shared, request, &response)?;
+    validate_answer(shared, request, conn.is_reused(), &response)?;
     Ok((conn, response))
 }
 
@@ -209,19 +202,31 @@
 fn validate_answer(
     shared: &Shared,
     request: &Request,
+    is_reused: bool,
     response: &Response<Incoming>,
 ) -> Result<(), AttemptFailure> {
     let dialect = &shared.dialect;
     let headers = response.headers();
     let status = response.status();
-    // A late second answer to an earlier request carries that request's id.
-    let is_own = headers.get(&dialect.request_id).is_none_or(|id| *id == request.id);
+    let is_refusal =
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run);
+    // A late second answer to an earlier request carries that request's id or none. A refusal
+    // without an id is believed even on a reused connection: only requests that may be repeated use
+    // one, and full endpoints refuse without an id.
+    let is_own = match headers.get(&dialect.request_id) {
+        Some(id) => *id == request.id,
+        None => is_refusal || !is_reused,
+    };
     if !is_own {
         return Err(AttemptFailure::Faulty("the answer belongs to another request".to_owned()));
     }
-    if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&dialect.not_run) {
+    if is_refusal {
         return Err(AttemptFailure::TurnedAway(status));
     }
+    if promises_not_run(status) && !request.route.kind.may_repeat() {
+        let cause = format!("{status} without a statement that the request did not run");
+        return Err(AttemptFailure::Faulty(cause));
+    }
     let is_sealed =
         headers.contains_key(&dialect.seal) && headers.contains_key(&dialect.request_id);
     let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
@@ -233,6 +238,17 @@
     Ok(())
 }
 
+/// Whether callers take a status as the promise that the request did not run and never will. An
+/// endpoint makes this promise only with the header that states it.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn build_request(
     shared: &Shared,
     request: &Request,
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -28,7 +28,6 @@
 use crate::attempt;
 use crate::attempt::AttemptCounts;
 use crate::attempt::AttemptFailure;
-use crate::attempt::Reuse;
 use crate::front::Shared;
 use crate::hub::Placement;
 use crate::request::Request;
@@ -194,10 +193,9 @@
     number: u32,
     mut placement: Placement,
 ) -> Step {
-    let reuse = if request.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
     let left = Duration::from_millis(request.left_ms());
     let exchange = async {
-        let sent = attempt::send(shared, request, &placement.target, None, reuse).await?;
+        let sent = attempt::send(shared, request, &placement.target, None).await?;
         read_answer(shared, sent).await
     };
     let result = match timeout(left, exchange).await {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -28,7 +28,6 @@
 use crate::answer::EndpointAnswer;
 use crate::attempt;
 use crate::attempt::AttemptFailure;
-use crate::attempt::Reuse;
 use crate::front::Shared;
 use crate::hub::Advice;
 use crate::hub::Placement;
@@ -243,9 +242,7 @@
     fn send(&self, placement: &Placement) -> BoxFuture<'static, SendResult> {
         let (shared, request) = (self.shared.clone(), self.request.clone());
         let (target, last_event_id) = (placement.target.clone(), self.last_event_id);
-        let sending = async move {
-            attempt::send(&shared, &request, &target, last_event_id, Reuse::Allowed).await
-        };
+        let sending = async move { attempt::send(&shared, &request, &target, last_event_id).await };
         sending.boxed()
     }
 
