Forward the events that arrive just before a missing one

Callers missed an event in the middle of a stream: an endpoint sent event 4 and event 6 in one packet after event 3, and the caller got 3, 5, 6, ... The reader had counted event 4 as received before it found the gap, dropped it with the error, and continued elsewhere after event 4.

The events before a fault are now forwarded first; the fault is reported by the next read, so that the last id is always that of an event that the caller has.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -10,6 +10,7 @@
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
+use balsam_http::Event;
 use balsam_http::ReusableTimeout;
 use balsam_http::Splitter;
 use balsam_http::headers::remove_hop_by_hop;
@@ -78,6 +79,8 @@
     splitter: Splitter,
     /// Bytes since the last event with data.
     bytes_since_data: usize,
+    /// A fault after the events that were taken last.
+    fault: Option<ReadFailure>,
 }
 
 /// Reads the events of one answer, from several endpoints if necessary.
@@ -279,6 +282,7 @@
                 is_framed,
                 splitter: Splitter::default(),
                 bytes_since_data: 0,
+                fault: None,
             };
             if head.status != StatusCode::OK {
                 match self.handle_other_answer(head.status, head.headers, upstream).await? {
@@ -377,26 +381,27 @@
         let Some(upstream) = &mut self.upstream else { return Ok(None) };
         let mut events: Option<Bytes> = None;
         let mut joined = BytesMut::new();
-        while let Some(event) = upstream.splitter.next_event() {
+        while upstream.fault.is_none()
+            && let Some(event) = upstream.splitter.next_event()
+        {
             if event.has_data || event.id.is_some() {
                 upstream.placement.progress();
                 upstream.bytes_since_data = 0;
             } else {
                 upstream.bytes_since_data += event.raw.len();
                 if upstream.bytes_since_data > MAX_EVENT_BYTES {
-                    return Err(ReadFailure::faulty("comments between events exceed the limit"));
+                    let cause = "comments between events exceed the limit";
+                    upstream.fault = Some(ReadFailure::faulty(cause));
+                    break;
                 }
             }
-            if let Some(id) = event.id {
-                if self.last_id.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                if let Some(last) = self.last_id.filter(|last| id != last + 1) {
-                    return Err(ReadFailure::broken(&format!(
-                        "received event {id} after event {last}"
-                    )));
+            match next_step(&event, self.last_id) {
+                Ok(Step::Forward) => self.last_id = event.id.or(self.last_id),
+                Ok(Step::Skip) => continue,
+                Err(fault) => {
+                    upstream.fault = Some(fault);
+                    break;
                 }
-                self.last_id = Some(id);
             }
             match &events {
                 None => events = Some(event.raw),
@@ -408,6 +413,12 @@
                 }
             }
         }
+        // The events before a fault count as received, so the caller must get them first.
+        if events.is_none()
+            && let Some(fault) = upstream.fault.take()
+        {
+            return Err(fault);
+        }
         Ok(if joined.is_empty() { events } else { Some(joined.freeze()) })
     }
 
@@ -461,6 +472,27 @@
     }
 }
 
+/// What to do with an event.
+enum Step {
+    Forward,
+    /// The caller already has it.
+    Skip,
+}
+
+/// Checks that an event continues what the caller has.
+fn next_step(event: &Event, last_id: Option<u64>) -> Result<Step, ReadFailure> {
+    let Some(id) = event.id else { return Ok(Step::Forward) };
+    if let Some(last) = last_id {
+        if id <= last {
+            return Ok(Step::Skip);
+        }
+        if id != last + 1 {
+            return Err(ReadFailure::broken(&format!("received event {id} after event {last}")));
+        }
+    }
+    Ok(Step::Forward)
+}
+
 /// Reads the next chunk of an answer.
 async fn read(
     upstream: &mut Upstream,
