Cut a stream without ids instead of joining two runs

Callers of a stream whose events have no ids, or ids that are no numbers, got its first events twice when it broke off: the next endpoint was not told where to continue and started again ("data: a, b, a, b", looking complete). Such a stream cannot be resumed once an event of it was forwarded, so it is now cut. Comments and blocks of the fields `event` and `retry` alone carry no part of the answer and do not prevent a resume.

--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -13,6 +13,9 @@
     pub id: Option<u64>,
     /// Whether the block has a `data` field; blocks without one are keep-alive comments.
     pub has_data: bool,
+    /// Whether the block has nothing but comments and the fields `event` and `retry`, which a client
+    /// does not report without data.
+    pub is_keep_alive: bool,
     /// Whether the block is the terminal event.
     pub is_terminal: bool,
 }
@@ -83,7 +86,13 @@
 }
 
 fn parse_event(raw: Bytes) -> Event {
-    let mut event = Event { raw: Bytes::new(), id: None, has_data: false, is_terminal: false };
+    let mut event = Event {
+        raw: Bytes::new(),
+        id: None,
+        has_data: false,
+        is_keep_alive: true,
+        is_terminal: false,
+    };
     let mut rest = &raw[..];
     while !rest.is_empty() {
         let line;
@@ -92,6 +101,9 @@
             None => (rest, &rest[rest.len()..]),
         };
         let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let keeps_alive = |name: &[u8]| line.starts_with(name);
+        event.is_keep_alive &=
+            line.is_empty() || [&b":"[..], b"event:", b"retry:"].into_iter().any(keeps_alive);
         if let Some(value) = field_value(line, b"id:") {
             event.id = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
         } else if let Some(value) = field_value(line, b"data:") {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -93,11 +93,22 @@
     counts: AttemptCounts,
     last_id: Option<u64>,
     has_events: bool,
+    forwarded: Forwarded,
     waited_ms: u64,
     read_timer: ReusableTimeout,
     timing: EventTiming,
 }
 
+/// What the caller has of a stream, apart from comments.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forwarded {
+    Nothing,
+    /// Events with ids, after which another endpoint can continue.
+    Numbered,
+    /// An event without an id. Another endpoint would repeat it.
+    Unnumbered,
+}
+
 /// When the events of one answer arrived.
 #[derive(Debug, Clone, Copy, Default)]
 struct EventTiming {
@@ -129,6 +140,7 @@
         tried: Vec::new(),
         counts: AttemptCounts::default(),
         has_events: false,
+        forwarded: Forwarded::Nothing,
         waited_ms: 0,
         read_timer: ReusableTimeout::default(),
         timing: EventTiming::default(),
@@ -228,7 +240,7 @@
             upstream.placement.end(failure.outcome());
         }
         self.counts.count_failure(failure);
-        if self.counts.allows_retry(&self.request) {
+        if self.counts.allows_retry(&self.request) && self.forwarded != Forwarded::Unnumbered {
             self.shared.hub.metrics.repeat(failure.as_str());
             return Ok(());
         }
@@ -395,7 +407,7 @@
                     break;
                 }
             }
-            match next_step(&event, self.last_id) {
+            match next_step(&event, self.last_id, &mut self.forwarded) {
                 Ok(Step::Forward) => self.last_id = event.id.or(self.last_id),
                 Ok(Step::Skip) => continue,
                 Err(fault) => {
@@ -480,8 +492,18 @@
 }
 
 /// Checks that an event continues what the caller has.
-fn next_step(event: &Event, last_id: Option<u64>) -> Result<Step, ReadFailure> {
-    let Some(id) = event.id else { return Ok(Step::Forward) };
+fn next_step(
+    event: &Event,
+    last_id: Option<u64>,
+    forwarded: &mut Forwarded,
+) -> Result<Step, ReadFailure> {
+    let Some(id) = event.id else {
+        if event.is_keep_alive {
+            return Ok(Step::Forward);
+        }
+        *forwarded = Forwarded::Unnumbered;
+        return Ok(Step::Forward);
+    };
     if let Some(last) = last_id {
         if id <= last {
             return Ok(Step::Skip);
@@ -490,6 +512,9 @@
             return Err(ReadFailure::broken(&format!("received event {id} after event {last}")));
         }
     }
+    if *forwarded == Forwarded::Nothing {
+        *forwarded = Forwarded::Numbered;
+    }
     Ok(Step::Forward)
 }
 
