Keep an endpoint's error text out of streams

Callers found text such as "error: overloaded", {"error":1} or a whole HTTP head between two events of a stream, and the stream could end as complete after it. A block without an id was forwarded wherever it came, from the first endpoint as well as from one that answered a resume.

After an event with an id, a block without one that is more than a keep-alive is now a fault of the endpoint: the stream continues elsewhere or is cut. Before the change, the new cases got the text, and with two attempts a stream that looked complete after event 3.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -491,7 +491,8 @@
     Skip,
 }
 
-/// Checks that an event continues what the caller has.
+/// Checks that an event continues what the caller has. After events with ids, anything without one
+/// is an error text of the endpoint.
 fn next_step(
     event: &Event,
     last_id: Option<u64>,
@@ -501,6 +502,9 @@
         if event.is_keep_alive {
             return Ok(Step::Forward);
         }
+        if *forwarded == Forwarded::Numbered {
+            return Err(ReadFailure::faulty("received text without an id after events with ids"));
+        }
         *forwarded = Forwarded::Unnumbered;
         return Ok(Step::Forward);
     };
