Compare the content type of a resumed stream

A resume that was answered with 200 was taken for the rest of the stream whatever it was: an empty text/plain answer ended the caller's stream after event 3 as if it were complete. The media type must now be that of the answer whose headers the caller has; otherwise the stream continues elsewhere or is cut. Parameters such as the charset may differ.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -20,6 +20,7 @@
 use futures::StreamExt;
 use futures::stream;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::header;
@@ -94,6 +95,8 @@
     last_id: Option<u64>,
     has_events: bool,
     forwarded: Forwarded,
+    /// The content type of the answer whose events were forwarded first.
+    content_type: Option<HeaderValue>,
     waited_ms: u64,
     read_timer: ReusableTimeout,
     timing: EventTiming,
@@ -141,6 +144,7 @@
         counts: AttemptCounts::default(),
         has_events: false,
         forwarded: Forwarded::Nothing,
+        content_type: None,
         waited_ms: 0,
         read_timer: ReusableTimeout::default(),
         timing: EventTiming::default(),
@@ -206,7 +210,10 @@
         let mut head = head;
         loop {
             match self.read_event().await {
-                Ok(event) => return Ok((head, event)),
+                Ok(event) => {
+                    self.content_type = head.get(header::CONTENT_TYPE).cloned();
+                    return Ok((head, event));
+                }
                 Err(failure) => head = self.continue_elsewhere(failure).await?,
             }
         }
@@ -303,6 +310,11 @@
                 }
             }
             self.upstream = Some(upstream);
+            if self.has_events && !is_same_media_type(self.content_type.as_ref(), &head.headers) {
+                let cause = "the answer to a resume has another content type";
+                self.record_failure(&AttemptFailure::Faulty(cause.to_owned()))?;
+                continue;
+            }
             return Ok(head.headers);
         }
     }
@@ -522,6 +534,16 @@
     Ok(Step::Forward)
 }
 
+/// Whether an answer has this content type, without regard to parameters such as the charset.
+fn is_same_media_type(expected: Option<&HeaderValue>, headers: &HeaderMap) -> bool {
+    let media_type = |value: Option<&HeaderValue>| {
+        let value = value.map_or(&[][..], HeaderValue::as_bytes);
+        let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
+        media_type.trim_ascii().to_ascii_lowercase()
+    };
+    media_type(expected) == media_type(headers.get(header::CONTENT_TYPE))
+}
+
 /// Reads the next chunk of an answer.
 async fn read(
     upstream: &mut Upstream,
