Try a third endpoint after a resume that is not a stream

A resume that was answered with 204, 206, 307 or 404 cut the caller's stream although the route allowed a further attempt, while 500 was followed by one. The caller can use none of these answers, as it already has the head of the stream, so that all of them are handled like 500. Before the change, the new cases were cut after event 3 with an attempt left.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -350,7 +350,7 @@
         }
         self.shared.client.return_connection(upstream.conn, upstream.keep_alive);
         upstream.placement.end(AttemptOutcome::Failed);
-        if status.is_server_error() {
+        if status.is_server_error() || self.has_events {
             let failure = AttemptFailure::Broken(format!("the endpoint answered {status}"));
             let may_continue = self.request.route.kind.may_repeat();
             if may_continue && self.record_failure(&failure).is_ok() {
