Reject an answer that changes the protocol

Callers got a 101 with an empty body when an endpoint answered "101 Switching Protocols": the client returned it as the final answer. No request asks for an upgrade, and what follows a 101 is no HTTP, so that the client now reports it as malformed. Before the change, the new tests got 101 on both plain routes; now they get another endpoint's answer and 502.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -159,7 +159,7 @@
             }
             let sent = conn.sender.try_send_request(request.clone());
             match timeout(response_timeout, conn.driver.drive(sent)).await {
-                Ok(Ok(response)) => return Ok((conn, response)),
+                Ok(Ok(response)) => return final_response(conn, response),
                 Err(_) => return Err(SendError::TimedOut),
                 Ok(Err(mut error)) => {
                     let is_written = error.take_message().is_none();
@@ -207,7 +207,7 @@
         let mut conn = self.connect(address).await?;
         let sent = conn.sender.send_request(request);
         match timeout(response_timeout, conn.driver.drive(sent)).await {
-            Ok(Ok(response)) => Ok((conn, response)),
+            Ok(Ok(response)) => final_response(conn, response),
             Ok(Err(error)) => Err(written_error(address, &error)),
             Err(_) => Err(SendError::TimedOut),
         }
@@ -270,6 +270,19 @@
     }
 }
 
+/// Rejects a change of protocol, which no request asks for: no HTTP answer follows it.
+fn final_response(
+    conn: Conn,
+    response: Response<Incoming>,
+) -> Result<(Conn, Response<Incoming>), SendError> {
+    if response.status().is_informational() {
+        let Conn { address, .. } = conn;
+        let status = response.status();
+        return Err(SendError::Malformed(format!("endpoint {address}: it answered {status}")));
+    }
+    Ok((conn, response))
+}
+
 /// Distinguishes an invalid response from a broken connection.
 fn written_error(address: SocketAddr, error: &hyper::Error) -> SendError {
     let cause = describe(address, error);
