Check what answers a resume on the product's own interface

Callers found an engine's text ("error: overloaded", {"error":1}, an HTTP head) in the middle of their stream: a resume was accepted with any 2xx and content type, and blocks without an id were forwarded. Events without ids were repeated from the start after a break. A resume must now be a 200 with an event stream that is not encoded, text without an id after events with ids is a fault (except a terminal event), and a fault leads to another resume. Streams without ids are cut.

The length of an event stream is no longer forwarded: comments before the first event are dropped and resumes change the length, so that whole streams were aborted when the engine announced one.

--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -26,6 +26,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -200,14 +201,14 @@
 ) -> AttemptAnswer {
     let (mut head, body) = response.into_parts();
     // Only model engines mark the end of a stream with a terminal event.
-    let is_event_stream = kind == PoolKind::Model
-        && head
-            .headers
-            .get(header::CONTENT_TYPE)
-            .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
+    let is_event_stream = kind == PoolKind::Model && has_event_stream_type(&head.headers);
     let has_framing = is_framed(&call.method, head.status, &head.headers, &body);
     let stream_id = stream_id(&head.headers);
     remove_hop_by_hop(&mut head.headers);
+    if is_event_stream {
+        // Comments may be dropped, and a resume may send fewer or more of them.
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
     let reader = AnswerReader {
         shared: shared.clone(),
         address,
@@ -232,6 +233,11 @@
     AttemptAnswer { status: head.status.as_u16(), headers: head.headers, body: body.boxed() }
 }
 
+fn has_event_stream_type(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+}
+
 /// Returns the stream's id if it needs no escaping in a URL path.
 fn stream_id(headers: &HeaderMap) -> Option<Arc<str>> {
     let id = headers.get(STREAM_ID)?.to_str().ok()?;
@@ -240,15 +246,10 @@
 }
 
 /// Whether the end of the body can be distinguished from a lost connection.
-fn is_framed(
-    method: &Method,
-    status: http::StatusCode,
-    headers: &HeaderMap,
-    body: &Incoming,
-) -> bool {
+fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap, body: &Incoming) -> bool {
     let bodiless = method == Method::HEAD
-        || status == http::StatusCode::NO_CONTENT
-        || status == http::StatusCode::NOT_MODIFIED;
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
     bodiless
         || headers.contains_key(header::TRANSFER_ENCODING)
         || body.size_hint().exact().is_some()
@@ -360,7 +361,10 @@
             match self.take_event() {
                 Ok(Some(part)) => return part,
                 Ok(None) => {}
-                Err(cause) => return self.fail_truncated(&cause),
+                Err(cause) => match self.resume(cause).await {
+                    Ok(()) => continue,
+                    Err(cause) => return self.fail_truncated(&cause),
+                },
             }
             let cause = match self.read().await {
                 ReadOutcome::Data(data) => {
@@ -394,6 +398,10 @@
     }
 
     fn filter_event(&mut self, event: Event) -> Result<Option<AnswerPart>, String> {
+        let is_text = event.id.is_none() && !event.is_keep_alive && !event.is_terminal;
+        if is_text && self.last_event_id.is_some() {
+            return Err("text without an id arrived after events with ids".to_owned());
+        }
         if !event.has_data {
             // Once anything was sent to the caller, the request cannot be retried on another
             // endpoint, so comments before the first event are dropped.
@@ -477,6 +485,10 @@
         let Some(id) = self.stream_id.clone() else {
             return Err(cause);
         };
+        // Without ids, the endpoint would repeat the events that were already sent.
+        if self.last_event_at.is_some() && self.last_event_id.is_none() {
+            return Err(cause);
+        }
         let mut cause = cause;
         while self.resumes < self.shared.options.max_resumes {
             self.resumes += 1;
@@ -509,12 +521,16 @@
         })?;
         let is_same_stream =
             response.headers().get(STREAM_ID).is_some_and(|v| v.as_bytes() == id.as_bytes());
-        if !response.status().is_success() || !is_same_stream {
+        if response.status() != StatusCode::OK || !is_same_stream {
             return Err(format!(
                 "the endpoint answered {} or for another stream",
                 response.status()
             ));
         }
+        let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+        if !has_event_stream_type(response.headers()) || is_encoded {
+            return Err("the endpoint did not answer with an event stream".to_owned());
+        }
         self.connection = Some((conn, response.into_body()));
         self.splitter = Some(Splitter::default());
         Ok(())
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the callers' interface with stand-in endpoints on loopback and fake ports.
 
 mod answers;
+mod broken_answers;
 mod budget;
 mod compare;
 mod keyed;
