--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,6 +17,7 @@
 
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
+use balsam_http::Event;
 use balsam_http::ReusableTimeout;
 use balsam_types::VmName;
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 use futures::StreamExt;
 use futures::stream;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
 use http::header;
 use slog::info;
@@ -70,8 +72,9 @@
     counts: AttemptCounts,
     last_id: Option<u64>,
     has_events: bool,
-    /// Whether the caller has data without an id, after which no other endpoint can continue.
-    has_unnumbered_data: bool,
+    forwarded: Forwarded,
+    /// The content type of the answer whose events were forwarded first.
+    content_type: Option<HeaderValue>,
     /// After a refusal, the time before which no further attempt starts beside a silent one.
     retry_at: Option<Instant>,
     waited_ms: u64,
@@ -79,11 +82,20 @@
     timing: EventTiming,
 }
 
-/// The next part of an answer, with the headers of its endpoint; only those of the first part are
-/// used.
+/// The next part of an answer, with the headers of its endpoint if these were not taken before.
 enum Part {
-    Events { head: HeaderMap, events: Bytes },
-    End { head: HeaderMap },
+    Events { head: Option<HeaderMap>, events: Bytes },
+    End { head: Option<HeaderMap> },
+}
+
+/// What the caller has of a stream, apart from comments.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Forwarded {
+    Nothing,
+    /// Events with ids, after which another endpoint can continue.
+    Numbered,
+    /// An event without an id. Another endpoint would repeat it.
+    Unnumbered,
 }
 
 /// When the events of one answer arrived.
@@ -117,7 +129,8 @@
         tried: Vec::new(),
         counts: AttemptCounts::default(),
         has_events: false,
-        has_unnumbered_data: false,
+        forwarded: Forwarded::Nothing,
+        content_type: None,
         retry_at: None,
         waited_ms: 0,
         read_timer: ReusableTimeout::default(),
@@ -125,8 +138,10 @@
     };
     reader.start_attempt();
     match reader.next_part().await {
-        Ok(Part::Events { head, events }) => Ok(reader.into_response(head, Some(events))),
-        Ok(Part::End { head }) => Ok(reader.into_response(head, None)),
+        Ok(Part::Events { head, events }) => {
+            Ok(reader.into_response(head.unwrap_or_default(), Some(events)))
+        }
+        Ok(Part::End { head }) => Ok(reader.into_response(head.unwrap_or_default(), None)),
         Err(StreamError::Answer(answer)) => Ok(caller_response(*answer)),
         Err(StreamError::Failed(failure)) => Err(failure),
         Err(StreamError::Refused(refusal)) => {
@@ -200,7 +215,7 @@
     /// Whether the route and the deadline allow another attempt beside the open ones.
     fn may_try_elsewhere(&self) -> bool {
         let uncounted = self.upstreams.iter().filter(|upstream| !upstream.is_superseded).count();
-        !self.has_unnumbered_data
+        self.forwarded != Forwarded::Unnumbered
             && self.counts.allows_retry_beside(&self.request, uncounted as u32)
     }
 
@@ -280,6 +295,10 @@
             Progress::GroupLost => {}
             Progress::Failed(failure) => self.on_failure(index, failure)?,
             Progress::Answer(answer) => self.on_other_answer(index, answer)?,
+            Progress::Data | Progress::End if !self.continues(index) => {
+                let cause = "the answer to a resume has another content type".to_owned();
+                self.on_failure(index, AttemptFailure::Faulty(cause))?;
+            }
             Progress::Data => match self.take_events(index) {
                 Ok(Some(events)) => return Ok(Some(self.deliver(index, events))),
                 Ok(None) => {}
@@ -293,8 +312,18 @@
         Ok(None)
     }
 
+    /// Whether the answer of an attempt has the content type of the events that the caller has.
+    fn continues(&self, index: usize) -> bool {
+        let head = self.upstreams[index].head.as_ref().filter(|_| self.has_events);
+        head.is_none_or(|head| is_same_media_type(self.content_type.as_ref(), head))
+    }
+
     /// Ends the other attempts, as this one has delivered events.
     fn deliver(&mut self, index: usize, events: Bytes) -> Part {
+        if !self.has_events {
+            let head = self.upstreams[index].head.as_ref();
+            self.content_type = head.and_then(|head| head.get(header::CONTENT_TYPE).cloned());
+        }
         self.has_events = true;
         self.timing.record(now_ms());
         let mut upstream = self.upstreams.swap_remove(index);
@@ -304,7 +333,7 @@
             upstream.is_superseded = false;
             self.counts.uncount_possible_run();
         }
-        let head = std::mem::take(&mut upstream.head);
+        let head = upstream.head.take();
         self.upstreams.push(upstream);
         Part::Events { head, events }
     }
@@ -373,7 +402,7 @@
         if !upstream.is_superseded {
             self.counts.count_possible_run();
         }
-        if answer.status.is_server_error() && self.may_try_elsewhere() {
+        if (answer.status.is_server_error() || self.has_events) && self.may_try_elsewhere() {
             let failure =
                 AttemptFailure::Broken(format!("the endpoint answered {}", answer.status));
             self.shared.log_attempt_failure(&self.request, upstream.vm(), &failure, false);
@@ -398,7 +427,9 @@
         let upstream = &mut self.upstreams[index];
         let mut events: Option<Bytes> = None;
         let mut joined = BytesMut::new();
-        while let Some(event) = upstream.splitter.next_event() {
+        while upstream.fault.is_none()
+            && let Some(event) = upstream.splitter.next_event()
+        {
             if event.has_data || event.id.is_some() {
                 upstream.record_event();
                 upstream.bytes_since_data = 0;
@@ -406,20 +437,17 @@
                 upstream.bytes_since_data += event.raw.len();
                 if upstream.bytes_since_data > MAX_EVENT_BYTES {
                     let cause = "comments between events exceed the limit".to_owned();
-                    return Err(AttemptFailure::Faulty(cause));
+                    upstream.fault = Some(AttemptFailure::Faulty(cause));
+                    break;
                 }
             }
-            if let Some(id) = event.id {
-                if self.last_id.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                if let Some(last) = self.last_id.filter(|last| id != last + 1) {
-                    let cause = format!("received event {id} after event {last}");
-                    return Err(AttemptFailure::Broken(cause));
+            match next_step(&event, self.last_id, &mut self.forwarded) {
+                Ok(EventStep::Forward) => self.last_id = event.id.or(self.last_id),
+                Ok(EventStep::Skip) => continue,
+                Err(fault) => {
+                    upstream.fault = Some(fault);
+                    break;
                 }
-                self.last_id = Some(id);
-            } else if event.has_data {
-                self.has_unnumbered_data = true;
             }
             match &events {
                 None => events = Some(event.raw),
@@ -431,6 +459,12 @@
                 }
             }
         }
+        // The events before a fault count as received, so the caller must get them first.
+        if events.is_none()
+            && let Some(fault) = upstream.fault.take()
+        {
+            return Err(fault);
+        }
         Ok(if joined.is_empty() { events } else { Some(joined.freeze()) })
     }
 
@@ -438,7 +472,7 @@
     fn complete(&mut self, index: usize) -> Part {
         let mut upstream = self.upstreams.swap_remove(index);
         self.end_all(AttemptOutcome::Broken);
-        let head = std::mem::take(&mut upstream.head);
+        let head = upstream.head.take();
         upstream.complete(AttemptOutcome::Answered);
         self.shared.hub.metrics.answer("stream");
         self.log_if_late();
@@ -465,6 +499,56 @@
     }
 }
 
+/// What to do with an event.
+enum EventStep {
+    Forward,
+    /// The caller already has it.
+    Skip,
+}
+
+/// Checks that an event continues what the caller has. After events with ids, anything without one
+/// is an error text of the endpoint.
+fn next_step(
+    event: &Event,
+    last_id: Option<u64>,
+    forwarded: &mut Forwarded,
+) -> Result<EventStep, AttemptFailure> {
+    let Some(id) = event.id else {
+        if event.is_keep_alive {
+            return Ok(EventStep::Forward);
+        }
+        if *forwarded == Forwarded::Numbered {
+            return Err(AttemptFailure::Faulty(
+                "received text without an id after events with ids".to_owned(),
+            ));
+        }
+        *forwarded = Forwarded::Unnumbered;
+        return Ok(EventStep::Forward);
+    };
+    if let Some(last) = last_id {
+        if id <= last {
+            return Ok(EventStep::Skip);
+        }
+        if id != last + 1 {
+            return Err(AttemptFailure::Broken(format!("received event {id} after event {last}")));
+        }
+    }
+    if *forwarded == Forwarded::Nothing {
+        *forwarded = Forwarded::Numbered;
+    }
+    Ok(EventStep::Forward)
+}
+
+/// Whether an answer has this content type, without regard to parameters such as the charset.
+fn is_same_media_type(expected: Option<&HeaderValue>, headers: &HeaderMap) -> bool {
+    let media_type = |value: Option<&HeaderValue>| {
+        let value = value.map_or(&[][..], HeaderValue::as_bytes);
+        let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
+        media_type.trim_ascii().to_ascii_lowercase()
+    };
+    media_type(expected) == media_type(headers.get(header::CONTENT_TYPE))
+}
+
 /// Polls the attempts; returns the progress of the first that has made some, with its index.
 fn poll_any(upstreams: &mut [Upstream], cx: &mut Context<'_>) -> Poll<(usize, Progress)> {
     for (index, upstream) in upstreams.iter_mut().enumerate() {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -81,7 +81,7 @@
     stage: Stage,
     placement: Option<Placement>,
     /// The headers of the answer, without those of the connection.
-    pub head: HeaderMap,
+    pub head: Option<HeaderMap>,
     keep_alive: Duration,
     /// Whether the answer states its end itself, by a length or chunks, rather than by the end of
     /// the connection.
@@ -90,6 +90,8 @@
     pub splitter: Splitter,
     /// Bytes since the last event with data.
     pub bytes_since_data: usize,
+    /// A fault after the events that were taken last.
+    pub fault: Option<AttemptFailure>,
     /// When the endpoint was last heard of by this attempt.
     pub progress_at: Instant,
     /// Whether another attempt is tried because this one is silent.
@@ -113,11 +115,12 @@
             last_event_id,
             stage: Stage::Placing(async move { hub.place(arrival).await }.boxed()),
             placement: None,
-            head: HeaderMap::new(),
+            head: None,
             keep_alive: Duration::ZERO,
             is_framed: false,
             splitter: Splitter::default(),
             bytes_since_data: 0,
+            fault: None,
             progress_at: Instant::now(),
             is_superseded: false,
             is_group_lost: false,
@@ -165,6 +168,9 @@
 
     /// Polls for the next progress.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Progress> {
+        if let Some(fault) = self.fault.take() {
+            return Poll::Ready(Progress::Failed(fault));
+        }
         let progress = self.poll_answer(cx);
         if progress.is_ready() {
             self.progress_at = Instant::now();
@@ -227,7 +233,7 @@
                         Ok(None) => {
                             return Poll::Ready(Progress::Answer(EndpointAnswer {
                                 status: *status,
-                                headers: std::mem::take(&mut self.head),
+                                headers: self.head.take().unwrap_or_default(),
                                 body: std::mem::take(bytes).freeze(),
                             }));
                         }
@@ -247,13 +253,13 @@
     }
 
     fn read_head(&mut self, conn: Conn, response: Response<Incoming>) {
-        let (head, body) = response.into_parts();
-        self.head = head.headers;
+        let (mut head, body) = response.into_parts();
         self.keep_alive =
-            attempt::keep_alive_duration(&self.head, self.shared.options.endpoint_idle());
-        self.is_framed = self.head.contains_key(header::CONTENT_LENGTH)
-            || self.head.contains_key(header::TRANSFER_ENCODING);
-        remove_hop_by_hop(&mut self.head);
+            attempt::keep_alive_duration(&head.headers, self.shared.options.endpoint_idle());
+        self.is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        remove_hop_by_hop(&mut head.headers);
+        self.head = Some(head.headers);
         self.progress_at = Instant::now();
         self.stage = match head.status {
             StatusCode::OK => Stage::Streaming { conn, body },
