--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -349,8 +349,8 @@
         member: vm("one"),
     };
     let lost_report = |node: &str| PeerReport { lost: vec![lost.clone()], ..report(node) };
-    let is_probe = |effect: &balsam_fleet::Effect| matches!(effect, Effect::Probe { .. });
-    let is_lost = |e: &balsam_fleet::Effect| {
+    let is_probe = |effect: &Effect| matches!(effect, Effect::Probe { .. });
+    let is_lost = |e: &Effect| {
         matches!(e, Effect::LogDecision(balsam_fleet::event::Decision::GroupLost { .. }))
     };
     let (mut probed, mut lost_on_one_report, mut lost_on_two_reports) = (0, 0, 0);
