--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -4,6 +4,8 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 
+use balsam_types::VmName;
+
 use crate::configuration::PoolConfig;
 use crate::event::Arrival;
 use crate::placement;
@@ -12,6 +14,7 @@
 use crate::serving::Server;
 use crate::state::Fleet;
 use crate::state::UnreportedWork;
+use crate::state::hash_rank;
 use crate::waiting::Capacity;
 
 /// Number of requests that an endpoint of a plain service may hold beyond its slots; its own queue
@@ -136,6 +139,24 @@
     in_flight < limit && is_open
 }
 
+/// Refills this node's share of the cold-start limits.
+pub(crate) fn refill_cold_allowances(fleet: &mut Fleet, now_ms: u64) {
+    let nodes = f64::from(fleet.nodes(now_ms));
+    let Some(configuration) = fleet.configuration.clone() else { return };
+    let cold = fleet.serving.all().filter(|(_, server)| now_ms < server.cold_until_ms);
+    let cold: Vec<_> = cold.map(|(kind, s)| (kind.pool.clone(), s.vm.clone())).collect();
+    for (pool, vm) in cold {
+        let rate_per_s = configuration.pools.get(&pool).map_or(0.0, |pool| pool.cold_per_s);
+        let initial_level = initial_level(&fleet.settings.node, &vm);
+        fleet.loads.entry(&vm).cold_allowance.refill(now_ms, rate_per_s / nodes, initial_level);
+    }
+}
+
+/// Returns an initial level from 0 to 1 that differs between nodes and endpoints.
+fn initial_level(node: &str, vm: &VmName) -> f64 {
+    hash_rank(node, vm) as f64 / u64::MAX as f64
+}
+
 fn cost(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server, arrival: &Arrival) -> f64 {
     let candidate = candidate(fleet, now_ms, server);
     match &pool.engine {
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -7,6 +7,7 @@
 use balsam_types::ModelName;
 use balsam_types::VmName;
 
+use crate::choice;
 use crate::choice::capacity;
 use crate::choice::choose;
 use crate::choice::read_wait_ms;
@@ -41,7 +42,6 @@
 use crate::state::Dispatched;
 use crate::state::Fleet;
 use crate::state::Peer;
-use crate::state::hash_rank;
 use crate::waiting;
 
 /// Applies an event to the state and returns the effects to carry out.
@@ -515,7 +515,7 @@
     let removed = fleet.directory.expire(now_ms);
     remove_endpoints(fleet, now_ms, removed, "not listed again after an outage", effects);
     update_leadership(fleet, now_ms, effects);
-    refill_cold_allowances(fleet, now_ms);
+    choice::refill_cold_allowances(fleet, now_ms);
     fleet.pauses.expire(now_ms);
     losses::detect_silent_heads(fleet, now_ms, effects);
     enforce_quarantine(fleet, now_ms, effects);
@@ -581,24 +581,6 @@
     }
 }
 
-/// Refills this node's share of the cold-start limits.
-fn refill_cold_allowances(fleet: &mut Fleet, now_ms: u64) {
-    let nodes = f64::from(fleet.nodes(now_ms));
-    let Some(configuration) = fleet.configuration.clone() else { return };
-    let cold = fleet.serving.all().filter(|(_, server)| now_ms < server.cold_until_ms);
-    let cold: Vec<_> = cold.map(|(kind, s)| (kind.pool.clone(), s.vm.clone())).collect();
-    for (pool, vm) in cold {
-        let rate_per_s = configuration.pools.get(&pool).map_or(0.0, |pool| pool.cold_per_s);
-        let initial_level = initial_level(&fleet.settings.node, &vm);
-        fleet.loads.entry(&vm).cold_allowance.refill(now_ms, rate_per_s / nodes, initial_level);
-    }
-}
-
-/// Returns an initial level from 0 to 1 that differs between nodes and endpoints.
-fn initial_level(node: &str, vm: &VmName) -> f64 {
-    hash_rank(node, vm) as f64 / u64::MAX as f64
-}
-
 fn plan(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let Fleet { configuration, directory, demand, suspicions, planner, operators, .. } = fleet;
     let Some(configuration) = configuration else { return };
