Log requests that end without an answer, and why connections are dropped

The reports of requests without an answer could not be traced: no line told a caller that left from a request that the node dropped, which requests the end of the grace period cut, whether a refused request had a body under way, which limits a version brings, or that a connection was dropped over the limit.

New lines: caller_left (the handling or the body of the answer was dropped), request_cut (one for each request that is open at the end of the grace period, instead of their number only) and connection_dropped, which is also counted. request_refused has the request and whether its body was unread, configuration has the limits.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -12,6 +12,7 @@
 use balsam_types::SegmentName;
 use balsam_types::VmName;
 
+use crate::configuration::CallerLimits;
 use crate::configuration::Configuration;
 use crate::demand::BusyGroups;
 use crate::directory::ListChange;
@@ -476,6 +477,8 @@
     Configuration {
         /// Its version.
         version: u64,
+        /// Its limits for callers.
+        limits: CallerLimits,
     },
     /// The operators evacuated a data centre or returned it to service.
     Evacuation {
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -148,7 +148,8 @@
     if !is_newer {
         return;
     }
-    effects.push(Effect::LogDecision(Decision::Configuration { version: configuration.version }));
+    let (version, limits) = (configuration.version, configuration.limits);
+    effects.push(Effect::LogDecision(Decision::Configuration { version, limits }));
     fleet.serving = Serving::new(&fleet.directory, &configuration);
     fleet.configuration = Some(configuration);
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one endpoint, up to the headers of the answer.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsam_fleet::Event;
@@ -153,10 +154,26 @@
     last_event_id: Option<u64>,
 ) -> Result<(Conn, Response<Incoming>), AttemptFailure> {
     let outgoing = build_request(shared, request, target, last_event_id);
-    let address = target.address;
     let left = Duration::from_millis(request.left_ms());
     let reuse = if request.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
-    let sent = shared.client.send(address, &outgoing, reuse, left, || true).await;
+    request.possible_runs.fetch_add(1, Ordering::Relaxed);
+    let result = exchange_heads(shared, request, target, &outgoing, reuse, left).await;
+    if let Err(AttemptFailure::NotSent(_) | AttemptFailure::TurnedAway(_)) = result {
+        request.possible_runs.fetch_sub(1, Ordering::Relaxed);
+    }
+    result
+}
+
+async fn exchange_heads(
+    shared: &Shared,
+    request: &Request,
+    target: &Target,
+    outgoing: &http::Request<Full<bytes::Bytes>>,
+    reuse: Reuse,
+    left: Duration,
+) -> Result<(Conn, Response<Incoming>), AttemptFailure> {
+    let address = target.address;
+    let sent = shared.client.send(address, outgoing, reuse, left, || true).await;
     let (conn, response) = sent.map_err(|error| match error {
         SendError::NotWritten(cause) | SendError::Refused(cause) => AttemptFailure::NotSent(cause),
         SendError::NotAllowed => AttemptFailure::NotSent("sending was not allowed".to_owned()),
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -77,9 +77,12 @@
             info!(log, "group is being dissolved"; "kind" => kind, "group" => %group,
                 "epoch" => epoch, "reason" => reason, "dropped_lines" => dropped);
         }
-        Decision::Configuration { version } => {
+        Decision::Configuration { version, limits } => {
             info!(log, "configuration in force"; "kind" => kind, "version" => version,
-                "dropped_lines" => dropped);
+                "max_header_bytes" => limits.max_header_bytes,
+                "max_body_bytes" => limits.max_body_bytes,
+                "header_timeout_ms" => limits.header_timeout_ms,
+                "idle_timeout_ms" => limits.idle_timeout_ms, "dropped_lines" => dropped);
         }
         Decision::Evacuation { data_centre, is_out, unconfirmed_ms, told_by } => {
             info!(log, "evacuation changed"; "kind" => kind, "data_centre" => %data_centre,
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -15,8 +15,10 @@
 use balsam_http::Client;
 use balsam_http::ClientOptions;
 use balsam_types::VmName;
+use http::HeaderValue;
 use http::Response;
 use http::header;
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -29,10 +31,14 @@
 use tokio::sync::watch;
 
 use crate::answer::Body;
+use crate::answer::RequestFailure;
 use crate::attempt::AttemptFailure;
 use crate::clock::now_ms;
 use crate::dialect::Dialect;
 use crate::hub::Hub;
+use crate::open_requests::GuardedEvents;
+use crate::open_requests::OpenRequestGuard;
+use crate::open_requests::OpenRequests;
 use crate::plain;
 use crate::request;
 use crate::request::Request;
@@ -76,7 +82,7 @@
     pub options: FrontOptions,
     stopping: watch::Sender<bool>,
     closing: watch::Sender<bool>,
-    open: AtomicU64,
+    open: Arc<OpenRequests>,
     connections: AtomicU64,
     /// Total size of the answers that are being buffered.
     pub buffered_bytes: AtomicUsize,
@@ -110,7 +116,7 @@
             options,
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
-            open: AtomicU64::new(0),
+            open: Arc::default(),
             connections: AtomicU64::new(0),
             buffered_bytes: AtomicUsize::new(0),
             was_ready: AtomicBool::new(false),
@@ -155,8 +161,14 @@
     fn accept(&self, stream: TcpStream) {
         let shared = self.shared.clone();
         let connections = shared.connections.fetch_add(1, Ordering::Relaxed);
-        let guard = CountGuard { shared: shared.clone(), count: |shared| &shared.connections };
+        let guard = ConnectionGuard(shared.clone());
         if connections >= shared.options.max_connections as u64 {
+            shared.hub.metrics.connection_dropped();
+            if let Some(dropped) = shared.hub.log_limiter.take("connection_dropped") {
+                warn!(shared.hub.log, "connection is dropped: too many are open";
+                    "kind" => "connection_dropped", "connections" => connections,
+                    "open_requests" => self.open_requests(), "dropped_lines" => dropped);
+            }
             return;
         }
         tokio::spawn(async move {
@@ -177,7 +189,12 @@
 
     /// Returns the number of requests whose answer is not complete.
     pub fn open_requests(&self) -> u64 {
-        self.shared.open.load(Ordering::Relaxed)
+        self.shared.open.len() as u64
+    }
+
+    /// Logs each open request as cut by the end of the grace period.
+    pub fn log_cut_requests(&self) {
+        self.shared.open.log_cut(&self.shared.hub);
     }
 
     /// Returns the number of open connections.
@@ -186,15 +203,12 @@
     }
 }
 
-/// Decrements a counter when dropped.
-struct CountGuard {
-    shared: Arc<Shared>,
-    count: fn(&Shared) -> &AtomicU64,
-}
+/// Counts a connection as open until dropped.
+struct ConnectionGuard(Arc<Shared>);
 
-impl Drop for CountGuard {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        (self.count)(&self.shared).fetch_sub(1, Ordering::Relaxed);
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -228,39 +242,36 @@
 }
 
 async fn handle_request(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response<Body> {
-    shared.open.fetch_add(1, Ordering::Relaxed);
-    let open = CountGuard { shared: shared.clone(), count: |shared| &shared.open };
-    let (parts, body) = request.into_parts();
-    let parsed = request::read(shared.hub.configuration(), &shared.dialect, parts, body).await;
+    let (parts, mut body) = request.into_parts();
+    let id = parts.headers.get(&shared.dialect.request_id).cloned();
+    let open = shared.open.add(shared.hub.clone(), id.clone());
+    let parsed = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body).await;
     let mut response = match parsed {
-        Ok(request) => answer_request(&shared, Arc::new(request)).await,
+        Ok(request) => {
+            let request = Arc::new(request);
+            open.set_request(&request);
+            answer_request(&shared, request).await
+        }
         Err(failure) => {
-            shared.hub.metrics.answer(failure.as_str());
-            if let Some(dropped) = shared.hub.log_limiter.take("request_refused") {
-                info!(shared.hub.log, "request refused"; "kind" => "request_refused",
-                    "outcome" => failure.as_str(), "dropped_lines" => dropped);
-            }
+            shared.log_refusal_by_head(id.as_ref(), failure, !body.is_end_stream());
             failure.response()
         }
     };
     if *shared.stopping.borrow() {
-        let close = http::HeaderValue::from_static("close");
+        let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response.map(|body| count_until_sent(body, open))
+    response.map(|body| keep_open_until_sent(body, open))
 }
 
-/// Counts a request as open until its body has been sent.
-fn count_until_sent(body: Body, open: CountGuard) -> Body {
+/// Keeps a request open until its body has been sent.
+fn keep_open_until_sent(body: Body, open: OpenRequestGuard) -> Body {
     match body {
-        Body::Whole(bytes) => Body::Whole(bytes),
-        Body::Events(events) => {
-            let counted_events = futures::StreamExt::map(events, move |event| {
-                let _ = &open;
-                event
-            });
-            Body::Events(Box::pin(counted_events))
+        Body::Whole(bytes) => {
+            open.end();
+            Body::Whole(bytes)
         }
+        Body::Events(events) => Body::Events(Box::pin(GuardedEvents::new(events, open))),
     }
 }
 
@@ -303,6 +314,21 @@
         }
     }
 
+    /// Counts a request that was refused before it was read whole, and logs it.
+    pub fn log_refusal_by_head(
+        &self,
+        id: Option<&HeaderValue>,
+        failure: RequestFailure,
+        is_body_unread: bool,
+    ) {
+        self.hub.metrics.answer(failure.as_str());
+        if let Some(dropped) = self.hub.log_limiter.take("request_refused") {
+            info!(self.hub.log, "request refused"; "kind" => "request_refused",
+                "request" => id.and_then(|id| id.to_str().ok()), "outcome" => failure.as_str(),
+                "is_body_unread" => is_body_unread, "dropped_lines" => dropped);
+        }
+    }
+
     /// Counts a refusal and logs it with the state that led to it.
     pub fn log_refusal(&self, request: &Request, refusal: &Refusal) {
         self.hub.metrics.refusal(refusal.reason.as_str());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod hub;
 mod message;
 mod metrics;
+mod open_requests;
 mod plain;
 mod request;
 mod stream;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,6 +1,8 @@
 //! Reads a caller's request and checks it against the configuration.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Configuration;
@@ -30,7 +32,7 @@
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
 /// A request that the configuration allows, with its complete body.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Request {
     pub id: HeaderValue,
     pub route: Arc<Route>,
@@ -46,6 +48,8 @@
     pub target_at_ms: u64,
     pub deadline_at_ms: u64,
     pub last_event_id: Option<u64>,
+    /// Number of attempts that an endpoint may have run.
+    pub possible_runs: AtomicU32,
 }
 
 impl Request {
@@ -76,6 +80,11 @@
         self.id.to_str().unwrap_or("(not printable)")
     }
 
+    /// Whether an endpoint may have run the request or is running it.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns the time left until the deadline.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms())
@@ -87,7 +96,7 @@
     configuration: Option<Arc<Configuration>>,
     dialect: &Dialect,
     parts: Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Request, RequestFailure> {
     let arrived_ms = now_ms();
     let configuration = configuration
@@ -116,6 +125,7 @@
         work,
         arrived_ms,
         last_event_id,
+        possible_runs: AtomicU32::new(0),
     })
 }
 
@@ -146,7 +156,7 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
+async fn read_body(body: &mut Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RequestFailure::TooLarge),
