Apply the limits in force to connections that are open

Callers saw kept connections close although the newest configuration permits them to be idle for longer, and 431 for heads that it permits. Cause: hyper takes the idle time and the size of a head when a connection is accepted, so each connection kept the limits of the version in force then, or the defaults if there was none; callers go by the newest version. Beside a raised idle time a request crosses the close.

Idle time and half-received heads are now measured beside hyper, with the limits in force when the time is up. An idle connection closes after the longer of this limit and the one in force when it became idle, as its caller may rely on either, and hyper is polled first, so that a request in the socket is still read. The time of a half-received head begins with its first byte; before, it was the idle time. The size of a head is checked after hyper has parsed it, in a buffer of 64 KB, which bounds what a later version can raise.

Tests on the code before: a_raised_idle_time (connection ended), a_raised_head_size (431 for 200), a_half_received_head (open after 2 s) and a_lowered_idle_time (open after 1.8 s, limit 0.9 s) failed. Now all pass, with broken_heads and silent_endpoints (97 tests).

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -93,6 +93,8 @@
     NoKey,
     /// The body is larger than allowed.
     TooLarge,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The headers or the body are invalid.
     Malformed,
 }
@@ -107,6 +109,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
         }
     }
@@ -120,6 +123,7 @@
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
+            Self::HeadTooLarge => "head_too_large",
             Self::Malformed => "malformed",
         }
     }
--- /dev/null
+++ b/crates/relay/src/caller_conn.rs
@@ -0,0 +1,242 @@
+//! One connection of a caller.
+//!
+//! hyper takes its limits when a connection begins. Those of a newer version of the configuration
+//! also hold for the connections that are open, so idle time and the time of a head are measured
+//! here.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use balsam_fleet::configuration::CallerLimits;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::front::Shared;
+use crate::front::handle_request;
+
+/// Buffer for the head of a request. Limits of later versions hold for open connections up to this
+/// size.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Time in which a connection that is being closed must have sent what is left of its answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What happens on a connection.
+pub(crate) struct Activity {
+    state: Mutex<ActivityState>,
+}
+
+struct ActivityState {
+    running_requests: u32,
+    /// When the last request ended, or the connection began.
+    idle_since: Instant,
+    /// When the first bytes of a head arrived that is not complete.
+    head_since: Option<Instant>,
+    /// The highest limits that were in force since the connection became idle.
+    limits: CallerLimits,
+}
+
+impl ActivityState {
+    /// Returns when the connection is to be closed if nothing more happens.
+    fn deadline(&self) -> Instant {
+        let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
+        match self.head_since {
+            _ if self.running_requests > 0 => Instant::now() + idle_timeout,
+            Some(since) => since + Duration::from_millis(self.limits.header_timeout_ms),
+            None => self.idle_since + idle_timeout,
+        }
+    }
+}
+
+/// What to do with a connection whose deadline may have passed.
+enum Expiry {
+    Keep(Instant),
+    CloseIdle,
+    /// The head of a request took too long.
+    Drop,
+}
+
+impl Activity {
+    fn new(limits: CallerLimits) -> Self {
+        let idle_since = Instant::now();
+        let state = ActivityState { running_requests: 0, idle_since, head_since: None, limits };
+        Self { state: Mutex::new(state) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, ActivityState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn received(&self) {
+        let mut state = self.state();
+        if state.running_requests == 0 && state.head_since.is_none() {
+            state.head_since = Some(Instant::now());
+        }
+    }
+
+    /// Checks the deadline by the limits in force and those that its caller may rely on.
+    fn expiry(&self, in_force: CallerLimits) -> Expiry {
+        let mut state = self.state();
+        let limits = &mut state.limits;
+        limits.idle_timeout_ms = limits.idle_timeout_ms.max(in_force.idle_timeout_ms);
+        limits.header_timeout_ms = limits.header_timeout_ms.max(in_force.header_timeout_ms);
+        let deadline = state.deadline();
+        match state.head_since {
+            _ if deadline > Instant::now() => Expiry::Keep(deadline),
+            Some(_) => Expiry::Drop,
+            None => Expiry::CloseIdle,
+        }
+    }
+}
+
+/// Marks a connection as in use by a request until dropped.
+pub(crate) struct RunningRequest {
+    shared: Arc<Shared>,
+    activity: Arc<Activity>,
+}
+
+impl RunningRequest {
+    fn start(shared: Arc<Shared>, activity: Arc<Activity>) -> Self {
+        {
+            let mut state = activity.state();
+            state.running_requests += 1;
+            state.head_since = None;
+        }
+        Self { shared, activity }
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        let limits = self.shared.limits();
+        let mut state = self.activity.state();
+        state.running_requests -= 1;
+        state.idle_since = Instant::now();
+        state.limits = limits;
+    }
+}
+
+/// A caller's socket.
+struct CallerSocket {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before_bytes = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > before_bytes {
+            self.activity.received();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// Serves the requests of a connection until it ends.
+pub(crate) async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let limits = shared.limits();
+    let activity = Arc::new(Activity::new(limits));
+    let service = {
+        let (shared, activity) = (shared.clone(), activity.clone());
+        service_fn(move |request| {
+            let running = RunningRequest::start(shared.clone(), activity.clone());
+            let shared = shared.clone();
+            async move { Ok::<_, Infallible>(handle_request(shared, request, running).await) }
+        })
+    };
+    let socket = CallerSocket { stream, activity: activity.clone() };
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.max_header_bytes.max(HEAD_BUFFER_BYTES))
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = pin!(connection);
+    let mut closing = shared.closing.subscribe();
+    let mut close = pin!(closing.wait_for(|closing| *closing));
+    let mut timer = pin!(sleep_until(activity.state().deadline()));
+    let mut is_closing = false;
+    poll_fn(|cx| {
+        loop {
+            // Polled before an idle connection is closed, so that a request in the socket is read.
+            // A connection error affects only its caller.
+            if connection.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            if !is_closing {
+                if close.as_mut().poll(cx).is_ready() {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
+                    continue;
+                }
+                let deadline = activity.state().deadline();
+                if deadline < timer.deadline() {
+                    timer.as_mut().reset(deadline);
+                }
+            }
+            ready!(timer.as_mut().poll(cx));
+            match activity.expiry(shared.limits()) {
+                Expiry::Keep(deadline) => timer.as_mut().reset(deadline),
+                Expiry::CloseIdle if !is_closing => {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
+                    timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
+                }
+                Expiry::CloseIdle | Expiry::Drop => return Poll::Ready(()),
+            }
+        }
+    })
+    .await;
+}
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,7 +1,5 @@
 //! Accepts callers' connections and handles their requests.
 
-use std::convert::Infallible;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -10,6 +8,7 @@
 use std::time::Duration;
 
 use balsam_fleet::Refusal;
+use balsam_fleet::configuration::CallerLimits;
 use balsam_fleet::configuration::RouteKind;
 use balsam_fleet::serving::RequestKind;
 use balsam_http::Client;
@@ -20,10 +19,6 @@
 use http::header;
 use http_body::Body as _;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
@@ -33,6 +28,8 @@
 use crate::answer::Body;
 use crate::answer::RequestFailure;
 use crate::attempt::AttemptFailure;
+use crate::caller_conn;
+use crate::caller_conn::RunningRequest;
 use crate::clock::now_ms;
 use crate::dialect::Dialect;
 use crate::hub::Hub;
@@ -50,9 +47,6 @@
 /// How often expired idle connections to endpoints are closed.
 const CLOSE_EXPIRED_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The smallest buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8192;
-
 /// Limits and timeouts of the request path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FrontOptions {
@@ -81,7 +75,7 @@
     pub dialect: Dialect,
     pub options: FrontOptions,
     stopping: watch::Sender<bool>,
-    closing: watch::Sender<bool>,
+    pub closing: watch::Sender<bool>,
     open: Arc<OpenRequests>,
     connections: AtomicU64,
     /// Total size of the answers that are being buffered.
@@ -173,7 +167,7 @@
         }
         tokio::spawn(async move {
             let _guard = guard;
-            serve_connection(shared, stream).await;
+            caller_conn::serve(shared, stream).await;
         });
     }
 
@@ -212,39 +206,15 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let limits = shared.hub.configuration().map(|configuration| configuration.limits);
-    let limits = limits.unwrap_or_default();
-    let service = {
-        let shared = shared.clone();
-        service_fn(move |request| {
-            let shared = shared.clone();
-            async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
-        })
-    };
-    // hyper's header timeout includes the idle time before the request, so the longer limit applies
-    // to both.
-    let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .header_read_timeout(Duration::from_millis(head_timeout_ms))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let mut closing = shared.closing.subscribe();
-    tokio::select! {
-        // A connection error affects only its caller.
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
-}
-
-async fn handle_request(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response<Body> {
+/// Handles one request of a connection, which `running` marks as in use.
+pub(crate) async fn handle_request(
+    shared: Arc<Shared>,
+    request: http::Request<Incoming>,
+    running: RunningRequest,
+) -> Response<Body> {
     let (parts, mut body) = request.into_parts();
     let id = parts.headers.get(&shared.dialect.request_id).cloned();
-    let open = shared.open.add(shared.hub.clone(), id.clone());
+    let open = shared.open.add(shared.hub.clone(), id.clone(), running);
     let parsed = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body).await;
     let mut response = match parsed {
         Ok(request) => {
@@ -294,6 +264,11 @@
 }
 
 impl Shared {
+    /// Returns the limits for callers that are in force.
+    pub fn limits(&self) -> CallerLimits {
+        self.hub.configuration().map(|configuration| configuration.limits).unwrap_or_default()
+    }
+
     /// Counts a failed attempt and logs it; `has_events` tells whether an event of its answer arrived.
     pub fn log_attempt_failure(
         &self,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod caller_conn;
 mod calls;
 mod clock;
 mod decision_log;
--- a/crates/relay/src/open_requests.rs
+++ b/crates/relay/src/open_requests.rs
@@ -19,6 +19,7 @@
 use slog::info;
 
 use crate::answer::Broken;
+use crate::caller_conn::RunningRequest;
 use crate::clock::now_ms;
 use crate::hub::Hub;
 use crate::request::Request;
@@ -40,10 +41,15 @@
 
 impl OpenRequests {
     /// Adds a request whose head was read.
-    pub fn add(self: &Arc<Self>, hub: Arc<Hub>, id: Option<HeaderValue>) -> OpenRequestGuard {
+    pub fn add(
+        self: &Arc<Self>,
+        hub: Arc<Hub>,
+        id: Option<HeaderValue>,
+        running: RunningRequest,
+    ) -> OpenRequestGuard {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         self.lock().insert(number, OpenRequest { id, arrived_ms: now_ms(), request: None });
-        OpenRequestGuard { requests: self.clone(), hub, number }
+        OpenRequestGuard { requests: self.clone(), hub, number, _running: running }
     }
 
     /// Returns the number of open requests.
@@ -81,6 +87,7 @@
     requests: Arc<OpenRequests>,
     hub: Arc<Hub>,
     number: u64,
+    _running: RunningRequest,
 }
 
 impl OpenRequestGuard {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -31,6 +31,9 @@
 /// `Retry-After` for callers while the node has no configuration yet.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
+/// A lower limit on the size of a head is not applied.
+const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
+
 /// A request that the configuration allows, with its complete body.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -101,6 +104,9 @@
     let arrived_ms = now_ms();
     let configuration = configuration
         .ok_or(RequestFailure::NotRun { retry_after_ms: NO_CONFIGURATION_RETRY_MS })?;
+    if head_bytes(&parts) > configuration.limits.max_header_bytes.max(MIN_HEAD_LIMIT_BYTES) {
+        return Err(RequestFailure::HeadTooLarge);
+    }
     let route = route(&configuration, &parts)?;
     let organisation = organisation(&configuration, &route, &parts.headers)?;
     let id = parts.headers.get(&dialect.request_id).cloned().ok_or(RequestFailure::Malformed)?;
@@ -129,6 +135,15 @@
     })
 }
 
+/// Returns the size of a head, apart from optional spaces.
+fn head_bytes(parts: &Parts) -> usize {
+    // A line of the head ends with two bytes, a colon follows each name, and two spaces and the
+    // version are part of the first line.
+    let fields = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 3);
+    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    parts.method.as_str().len() + path + "  HTTP/1.1\r\n\r\n".len() + fields.sum::<usize>()
+}
+
 fn route(configuration: &Configuration, parts: &Parts) -> Result<Arc<Route>, RequestFailure> {
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or(RequestFailure::NoRoute)?;
