--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod caller_conn;
 mod calls;
 mod clock;
 mod decision_log;
@@ -15,6 +16,7 @@
 mod hub;
 mod message;
 mod metrics;
+mod open_requests;
 mod plain;
 mod request;
 mod stream;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,6 +1,8 @@
 //! Reads a caller's request and checks it against the configuration.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Configuration;
@@ -29,8 +31,11 @@
 /// `Retry-After` for callers while the node has no configuration yet.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
+/// A lower limit on the size of a head is not applied.
+const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
+
 /// A request that the configuration allows, with its complete body.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Request {
     pub id: HeaderValue,
     pub route: Arc<Route>,
@@ -46,6 +51,8 @@
     pub target_at_ms: u64,
     pub deadline_at_ms: u64,
     pub last_event_id: Option<u64>,
+    /// Number of attempts that an endpoint may have run.
+    pub possible_runs: AtomicU32,
 }
 
 impl Request {
@@ -76,6 +83,11 @@
         self.id.to_str().unwrap_or("(not printable)")
     }
 
+    /// Whether an endpoint may have run the request or is running it.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns the time left until the deadline.
     pub fn left_ms(&self) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms())
@@ -87,11 +99,14 @@
     configuration: Option<Arc<Configuration>>,
     dialect: &Dialect,
     parts: Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Request, RequestFailure> {
     let arrived_ms = now_ms();
     let configuration = configuration
         .ok_or(RequestFailure::NotRun { retry_after_ms: NO_CONFIGURATION_RETRY_MS })?;
+    if head_bytes(&parts) > configuration.limits.max_header_bytes.max(MIN_HEAD_LIMIT_BYTES) {
+        return Err(RequestFailure::HeadTooLarge);
+    }
     let route = route(&configuration, &parts)?;
     let organisation = organisation(&configuration, &route, &parts.headers)?;
     let id = parts.headers.get(&dialect.request_id).cloned().ok_or(RequestFailure::Malformed)?;
@@ -116,9 +131,19 @@
         work,
         arrived_ms,
         last_event_id,
+        possible_runs: AtomicU32::new(0),
     })
 }
 
+/// Returns the size of a head, apart from optional spaces.
+fn head_bytes(parts: &Parts) -> usize {
+    // A line of the head ends with two bytes, a colon follows each name, and two spaces and the
+    // version are part of the first line.
+    let fields = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 3);
+    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    parts.method.as_str().len() + path + "  HTTP/1.1\r\n\r\n".len() + fields.sum::<usize>()
+}
+
 fn route(configuration: &Configuration, parts: &Parts) -> Result<Arc<Route>, RequestFailure> {
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or(RequestFailure::NoRoute)?;
@@ -146,7 +171,7 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
+async fn read_body(body: &mut Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RequestFailure::TooLarge),
