Bound the slots of an endpoint and saturate their sums

Report of another operator: an entry with slots in a plain service ended requests by a panic and the node served no more. The choice of an endpoint adds the length of the queue to the slots, which overflowed with overflow checks and wraps in a release build, so that the endpoint has a capacity of 5. The sum of the slots of all endpoints overflows likewise.

The sums in the choice saturate, because many entries within the bound may still exceed the type.

Before: path odd_entries slots_of_a_whole_word and both tests of fleet capacity failed with "attempt to add with overflow", decode slots_of_a_whole_word accepted the entry.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -127,7 +127,7 @@
     let in_flight = load.map_or(0, |load| load.total(now_ms).0);
     let limit = match pool.engine {
         Some(_) => server.slots,
-        None => server.slots + PLAIN_QUEUE_LEN,
+        None => server.slots.saturating_add(PLAIN_QUEUE_LEN),
     };
     let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
     let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
@@ -162,5 +162,7 @@
 pub(crate) fn capacity(fleet: &Fleet, now_ms: u64, kind: &RequestKind) -> Capacity {
     let servers = fleet.serving.of(kind).iter();
     let usable = servers.filter(|server| is_usable(fleet, now_ms, server));
-    Capacity { total: usable.map(|server| server.slots).sum(), nodes: fleet.nodes(now_ms) }
+    // The slots of many endpoints may exceed the type, and the total is only compared and divided.
+    let total = usable.map(|server| server.slots).fold(0, u32::saturating_add);
+    Capacity { total, nodes: fleet.nodes(now_ms) }
 }
