Bound Keep-Alive and Retry-After of an endpoint's answer

An endpoint's answer with Keep-Alive: timeout=1e300 or inf ended the request by a panic (Duration::from_secs_f64), in a release build too: the caller's connection closed without an answer, although the request had run.

A Keep-Alive that cannot be represented now counts as none, as each connection is kept for a limited time anyway. A pause of more than an hour is not kept; the endpoint backs off as after any refusal, and a line names endpoint, value and bound.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use slog::warn;
 
 use crate::front::Shared;
 use crate::request::Request;
@@ -23,6 +24,9 @@
 /// Fraction of the idle time advertised by an endpoint for which its connections are reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
+/// Longest pause that an endpoint may ask for; a pause holds even if the endpoint restarts meanwhile.
+const MAX_PAUSE_S: f64 = 3_600.0;
+
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum AttemptFailure {
@@ -180,16 +184,24 @@
         shared.hub.apply(Event::EndpointLeaving(vm.clone()));
     }
     if response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && let Some(pause_ms) = retry_after_ms(headers)
+        && let Some(pause_ms) = retry_after_ms(shared, vm, headers)
     {
         shared.hub.apply(Event::EndpointPaused { vm: vm.clone(), pause_ms });
     }
 }
 
 /// Parses `Retry-After`, in seconds with fractions, during which the endpoint takes no requests.
-fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+fn retry_after_ms(shared: &Shared, vm: &VmName, headers: &HeaderMap) -> Option<u64> {
     let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse::<f64>().ok()?;
-    (seconds.is_finite() && seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+    if seconds > MAX_PAUSE_S {
+        if let Some(dropped) = shared.hub.log_limiter.take("pause_ignored") {
+            warn!(shared.hub.log, "the pause that an endpoint asks for is out of bounds";
+                "kind" => "pause_ignored", "endpoint" => %vm, "retry_after_s" => seconds,
+                "bound_s" => MAX_PAUSE_S, "dropped_lines" => dropped);
+        }
+        return None;
+    }
+    (seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
 }
 
 /// Classifies an error while reading a body: invalid data is faulty, a lost connection is closed.
@@ -286,6 +298,8 @@
         let parameter = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
         parameter.parse::<f64>().ok()
     });
-    seconds
-        .map_or(default, |seconds| Duration::from_secs_f64(seconds.max(0.0) * KEEP_ALIVE_FRACTION))
+    // A time that cannot be represented is longer than any connection is kept.
+    let duration =
+        |seconds: f64| Duration::try_from_secs_f64(seconds.max(0.0) * KEEP_ALIVE_FRACTION).ok();
+    seconds.and_then(duration).unwrap_or(default)
 }
