Leave epochs for new groups beside an odd entry

The planner numbers a new group after the highest epoch in the list. One entry with an epoch of 2^64 - 1, which any writer may put there, left no number: with overflow checks the planning node ended by a panic while it held the state of the fleet (planner.rs, next_epoch), and a release build started again at 0, so that endpoints refuse every order as one of an earlier term.

An entry may state an epoch of at most 2^62; one above it names no endpoint to use. The planner follows epochs up to half of that, so an entry at the bound leaves numbers too, and its own stay within the bound. Own epochs contain the offset of the lease record in the bits from 16 on and are far below.

Before: fleet odd_entries groups_form_after_an_entry_with_the_last_epoch failed at planner.rs:501 with "attempt to add with overflow". The end-to-end case passed before, because its test does not need a new group.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -38,6 +38,9 @@
     pub sequence: u64,
 }
 
+/// Highest epoch that an entry may state.
+pub const MAX_EPOCH: u64 = 1 << 62;
+
 /// Membership of an endpoint in a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Membership {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -27,6 +27,7 @@
 use crate::demand::Demand;
 use crate::directory::Directory;
 use crate::endpoint::Endpoint;
+use crate::endpoint::MAX_EPOCH;
 use crate::endpoint::MemberState;
 use crate::event::Decision;
 use crate::event::Effect;
@@ -82,6 +83,10 @@
 /// Interval between two log entries on the utilisation of each model.
 const USE_LOG_INTERVAL_MS: u64 = 2_000;
 
+/// Highest epoch of the list that later epochs follow: an entry of another writer must leave epochs
+/// for the groups that this node forms.
+const MAX_FOLLOWED_EPOCH: u64 = MAX_EPOCH / 2;
+
 type GroupKey = (GroupName, u64);
 
 /// A group that is being formed.
@@ -311,7 +316,8 @@
         }
         let observed = formation::observe_groups(view.directory);
         self.sent.retain(|_, sent_ms| now_ms < *sent_ms + RESEND_INTERVAL_MS);
-        let highest = observed.keys().map(|(_, epoch)| *epoch).max().unwrap_or(0);
+        let epochs = observed.keys().map(|(_, epoch)| *epoch);
+        let highest = epochs.filter(|epoch| *epoch <= MAX_FOLLOWED_EPOCH).max().unwrap_or(0);
         self.last_epoch = self.last_epoch.max(highest);
         let mut effects = Vec::new();
         self.probe_dead(view, &mut effects);
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,11 +1,11 @@
 //! Tests of the fleet's decisions in virtual time.
 
-mod capacity;
 mod directory;
 mod endpoint_notices;
 mod groups;
 mod lease;
 mod load;
+mod odd_entries;
 mod operators;
 mod quarantine;
 mod quarantine_simulation;
--- a/crates/fleet/tests/fleet/capacity.rs
+++ b/crates/fleet/tests/fleet/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Tests of the capacity of endpoints at the limits of its type.
+//! Tests of entries of endpoints with numbers at the limits of their types.
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Effect;
@@ -6,9 +6,11 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::directory::ListChange;
+use balsam_fleet::endpoint::Membership;
 use balsam_fleet::reduce;
 use balsam_types::PoolName;
 
+use crate::simulation::Simulation;
 use crate::support;
 use crate::support::arrival;
 use crate::support::dispatched;
@@ -50,3 +52,16 @@
     let effects = reduce(&mut fleet(), NOW_MS, Event::Arrive(Arrival { tried, ..plain(1) }));
     assert!(matches!(effects[..], [Effect::Refuse { attempt_id: 1, .. }]), "{effects:?}");
 }
+
+/// Guards against an entry of another writer whose epoch leaves no number for later groups.
+#[test]
+fn groups_form_after_an_entry_with_the_last_epoch() {
+    let mut simulation = Simulation::new(1);
+    let odd = simulation.hosts.values_mut().next().unwrap();
+    let last = support::head("odd", 9).membership.unwrap();
+    odd.entry.membership = Some(Membership { epoch: u64::MAX, rank: 1, ..last });
+    simulation.run(6_000);
+    let serving = simulation.serving();
+    assert!(serving[&support::model(support::SMALL)] >= 17, "{serving:?}");
+    assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
+}
