--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod groups;
 mod lease;
 mod load;
+mod odd_entries;
 mod operators;
 mod quarantine;
 mod quarantine_simulation;
