Discount a node's own pauses in what it concludes of others

Callers of all nodes lost their answers when the planning node had been stopped, starved or suspended for 2 s or more: it measured its own pause as silence of all groups and ordered live groups to leave right after it woke. The same pause made probes and orders time out whose answers were in the sockets, and let the grace of lapsed list entries end.

Cause: ages were compared over time in which the node could not hear anything. The reducer now notes a gap of more than 250 ms between two events (ticks come every 50 ms) as a pause of its own. Silence is measured without it, the timeouts of the planner, the grace of lapsed entries and the age of other nodes' reports are extended by it, and for 0.5 s after it a failed probe is sent again, and an unanswered order or a failed connection to another data centre counts for nothing. The lease and the age of the operators' orders keep running, as they do at the other side. The line own_pause tells a pause of the node from silence of its endpoints.

Evidence, with the detection disabled (threshold u64::MAX), cargo test -p balsam-fleet -- own_pauses: 7 of 10 cases failed: pauses of 2,100, 4,000 and 30,000 ms ended with Leave orders for both groups; a probe was not sent again (left: [], right: ["one"]); two orders that timed out in pauses freed the members of a head that served; a live endpoint was removed from the list; no line in the log. The cases of 300 and 1,000 ms passed before as well.

Ruled out: stream.rs polls the attempts before its timer, so what arrived in a pause is delivered, and its timeouts only start attempts beside the first. Reports of lost groups that are read late only start other attempts for 1.5 s.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -107,6 +107,12 @@
         Endpoint { is_draining: listed.is_draining || is_leaving, ..listed }
     }
 
+    /// Extends grace periods by a pause of this node, in which it could not read the list.
+    pub fn extend_grace(&mut self, paused_ms: u64) {
+        self.lapsed.values_mut().for_each(|until_ms| *until_ms += paused_ms);
+        self.returned_ms = self.returned_ms.map(|returned_ms| returned_ms + paused_ms);
+    }
+
     /// Removes entries whose grace period has ended, and returns them.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Endpoint> {
         let due: Vec<VmName> = self
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -519,6 +519,11 @@
         /// The segment.
         segment: SegmentName,
     },
+    /// This node itself did not run for a while.
+    OwnPause {
+        /// How long it handled no event.
+        paused_ms: u64,
+    },
     /// Several endpoints of another data centre cannot be reached, so it is not used for a while.
     DataCentreCut {
         /// The data centre.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 mod losses;
 pub mod operators;
+pub mod own_pauses;
 pub mod pauses;
 pub mod placement;
 pub mod planner;
--- a/crates/fleet/src/losses.rs
+++ b/crates/fleet/src/losses.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// Extends what this node waits for by a pause of its own that ends with this event.
+pub(crate) fn note_own_pause(fleet: &mut Fleet, now_ms: u64) {
+    let Some(paused_ms) = fleet.own_pauses.on_event(now_ms) else { return };
+    fleet.directory.extend_grace(paused_ms);
+    fleet.planner.extend_timeouts(paused_ms);
+    for peer in fleet.peers.values_mut() {
+        peer.heard_ms = (peer.heard_ms + paused_ms).min(now_ms);
+    }
+}
+
+/// Applies the result of a probe.
+///
+/// One that may have been answered while this node was paused is sent again.
 pub(crate) fn probed(
     fleet: &mut Fleet,
     now_ms: u64,
@@ -46,6 +59,12 @@
     is_alive: bool,
     effects: &mut Vec<Effect>,
 ) {
+    if !is_alive && fleet.own_pauses.may_hide_answer(now_ms) {
+        if let Some(endpoint) = fleet.directory.get(vm) {
+            effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
+        }
+        return;
+    }
     match fleet.directory.get(vm) {
         Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
         None => fleet.planner.departed_probed(now_ms, vm, is_alive),
@@ -177,7 +196,8 @@
         let Some(load) = fleet.loads.get(&server.vm).filter(|load| load.in_flight > 0) else {
             continue;
         };
-        let silent_ms = now_ms.saturating_sub(load.progress_ms.load(Ordering::Relaxed));
+        let silent_ms =
+            fleet.own_pauses.running_ms(load.progress_ms.load(Ordering::Relaxed), now_ms);
         let (in_flight, unread) = load.total(now_ms);
         let mut limit_ms =
             suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread, unreported_ms);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -209,6 +209,13 @@
         self.heads.retain(|_, (_, seen_ms)| now_ms < *seen_ms + HEAD_RETENTION_MS);
     }
 
+    /// Extends timeouts by a pause of this node, in which it could not see the progress of groups.
+    pub fn extend_timeouts(&mut self, paused_ms: u64) {
+        self.forming.values_mut().for_each(|forming| forming.started_ms += paused_ms);
+        self.headless_since_ms.values_mut().for_each(|since_ms| *since_ms += paused_ms);
+        self.last_growth.1 += paused_ms;
+    }
+
     /// Remembers an endpoint that left the list.
     pub fn departed(&mut self, now_ms: u64, endpoint: Endpoint) {
         self.departed.insert(endpoint.vm.clone(), (now_ms, endpoint));
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -47,6 +47,7 @@
 /// Applies an event to the state and returns the effects to carry out.
 pub fn reduce(fleet: &mut Fleet, now_ms: u64, event: Event) -> Vec<Effect> {
     let mut effects = Vec::new();
+    losses::note_own_pause(fleet, now_ms);
     match event {
         Event::Configuration(configuration) => {
             apply_configuration(fleet, configuration, &mut effects)
@@ -92,10 +93,13 @@
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(update) => apply_lease_event(fleet, now_ms, update, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
-            if matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused) {
+            let is_heard = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused);
+            if is_heard {
                 heard_from(fleet, now_ms, &vm);
             }
-            fleet.planner.answered(now_ms, &vm, &order, answer);
+            if is_heard || !fleet.own_pauses.may_hide_answer(now_ms) {
+                fleet.planner.answered(now_ms, &vm, &order, answer);
+            }
         }
         Event::Tick => tick(fleet, now_ms, &mut effects),
     }
@@ -446,7 +450,10 @@
     match outcome {
         // Failures within this node's own data centre are handled per endpoint.
         AttemptOutcome::Unreachable if *data_centre != fleet.settings.data_centre => {
-            if fleet.reachability.failed(now_ms, data_centre, vm) {
+            // A connection that was opened while this node was paused may have timed out.
+            if !fleet.own_pauses.may_hide_answer(now_ms)
+                && fleet.reachability.failed(now_ms, data_centre, vm)
+            {
                 let data_centre = data_centre.clone();
                 effects.push(Effect::LogDecision(Decision::DataCentreCut { data_centre }));
             }
@@ -512,6 +519,9 @@
 }
 
 fn tick(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    if let Some(paused_ms) = fleet.own_pauses.take_unlogged_ms() {
+        effects.push(Effect::LogDecision(Decision::OwnPause { paused_ms }));
+    }
     let removed = fleet.directory.expire(now_ms);
     remove_endpoints(fleet, now_ms, removed, "not listed again after an outage", effects);
     update_leadership(fleet, now_ms, effects);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -27,6 +27,7 @@
 use crate::load::LoadTable;
 use crate::operators::OperatorsView;
 use crate::operators::Watch;
+use crate::own_pauses::OwnPauses;
 use crate::pauses::Pauses;
 use crate::planner::Planner;
 use crate::quarantine::Quarantine;
@@ -139,6 +140,8 @@
     pub serving: Serving,
     /// Endpoints that asked for no requests for a while.
     pub pauses: Pauses,
+    /// Times in which this node itself did not run.
+    pub own_pauses: OwnPauses,
     /// The load of each endpoint.
     pub loads: LoadTable,
     /// Queued requests.
@@ -181,6 +184,7 @@
             operators: OperatorsView::default(),
             serving: Serving::default(),
             pauses: Pauses::default(),
+            own_pauses: OwnPauses::default(),
             loads: LoadTable::default(),
             waiting: Waiting::default(),
             demand: Demand::default(),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,6 +6,8 @@
 mod lease;
 mod load;
 mod operators;
+mod own_pauses;
+mod planning_node;
 mod quarantine;
 mod quarantine_simulation;
 mod simulation;
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -111,6 +111,10 @@
             info!(log, "prompt segment is released"; "kind" => kind, "segment" => %segment,
                 "dropped_lines" => dropped);
         }
+        Decision::OwnPause { paused_ms } => {
+            info!(log, "this node did not run"; "kind" => kind, "paused_ms" => paused_ms,
+                "dropped_lines" => dropped);
+        }
         Decision::DataCentreCut { data_centre } => {
             info!(log, "data centre cannot be reached"; "kind" => kind,
                 "data_centre" => %data_centre, "dropped_lines" => dropped);
@@ -151,6 +155,7 @@
         Decision::EndpointPaused { .. } => "endpoint_pauses",
         Decision::SegmentQuarantined(_) => "segment_quarantined",
         Decision::SegmentReleased { .. } => "segment_released",
+        Decision::OwnPause { .. } => "own_pause",
         Decision::DataCentreCut { .. } => "data_centre_cut",
         Decision::Use { .. } => "use",
         Decision::Leading { .. } => "leading",
