--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,8 @@
 mod load;
 mod odd_entries;
 mod operators;
+mod own_pauses;
+mod planning_node;
 mod quarantine;
 mod quarantine_simulation;
 mod simulation;
