Wait for 5 s of silence before a group that answers is dissolved

A sound server may fall silent for a second or so and go on. The planning node ordered a group to leave after 2 s without an event at this one node, although all members answered their probes, and so broke off the answers of all nodes.

Cause: one stage, "lost", stood for both a missing member and mere silence, and the planner acted on both. Silence is now a stage of its own, "stalled". After 2 s it keeps new requests away and starts other attempts, as before, which harms nothing. It allows the group to be dissolved only after 5 s: its head gives up a lost member by then and lists itself as broken, which already led to its end, so a group that neither works nor is broken never will. An event ends the stage. When its callers have left, nothing shows whether it goes on: it is tried again 5 s after its last event, and dissolved if it is silent for 2 s once more.

The time of progress was also set when a first request was sent, so it could not tell an event from that; the start of work at an endpoint has a field of its own now.

Ruled out: asking several nodes, as a silent server is silent to all of them; the load report of the head, which is some hundred ms old and does not tell reading from standing still. Not measured: the price, up to 3 s more without a replacement for a group that stands still with all its members answering.

--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -57,6 +57,9 @@
     peers: BTreeMap<Arc<str>, (u64, u32, u64)>,
     /// When the last event arrived, by this node's clock.
     pub progress_ms: Arc<AtomicU64>,
+    /// When the first of this node's current attempts was sent. Silence is measured from then, not
+    /// from an earlier event.
+    pub busy_since_ms: u64,
     /// Until this time the endpoint is used only if no other can be.
     pub backoff_until_ms: u64,
     /// Number of consecutive failures to reach it.
@@ -170,6 +173,9 @@
     ) -> Arc<AtomicU64> {
         let unread_tokens = u64::from(tokens);
         let load = self.entry(vm);
+        if load.in_flight == 0 {
+            load.busy_since_ms = now_ms;
+        }
         load.in_flight += 1;
         load.unread_tokens += unread_tokens;
         let progress_ms = load.progress_ms.clone();
--- a/crates/fleet/src/losses.rs
+++ b/crates/fleet/src/losses.rs
@@ -44,6 +44,7 @@
     let Some(paused_ms) = fleet.own_pauses.on_event(now_ms) else { return };
     fleet.directory.extend_grace(paused_ms);
     fleet.planner.extend_timeouts(paused_ms);
+    fleet.suspicions.extend_silences(paused_ms);
     for peer in fleet.peers.values_mut() {
         peer.heard_ms = (peer.heard_ms + paused_ms).min(now_ms);
     }
@@ -125,7 +126,7 @@
     for (key, group) in observed {
         let is_member = group.members.values().any(|member| member.vm == *vm);
         if let Some(head) = group.head().filter(|_| is_member) {
-            mark_lost(fleet, now_ms, &head.vm.clone(), &key, Some(vm.clone()), effects);
+            mark_lost(fleet, now_ms, &head.vm.clone(), &key, vm, effects);
         }
     }
 }
@@ -135,17 +136,17 @@
     now_ms: u64,
     head: &VmName,
     key: &(GroupName, u64),
-    member: Option<VmName>,
+    member: &VmName,
     effects: &mut Vec<Effect>,
 ) {
     if !fleet.suspicions.mark_lost(now_ms, head, key, member.clone()) {
         return;
     }
-    if member.as_ref().is_some_and(|vm| !fleet.is_witness(now_ms, vm)) {
+    if !fleet.is_witness(now_ms, member) {
         let evidence = Evidence::Observed { at_ms: now_ms };
         fleet.suspicions.defer_to_witnesses(now_ms, head, evidence);
     }
-    try_elsewhere(fleet, head, key, member, effects);
+    try_elsewhere(fleet, head, key, Some(member.clone()), effects);
 }
 
 /// Has the attempts at the head of a lost group tried elsewhere.
@@ -196,8 +197,9 @@
         let Some(load) = fleet.loads.get(&server.vm).filter(|load| load.in_flight > 0) else {
             continue;
         };
-        let silent_ms =
-            fleet.own_pauses.running_ms(load.progress_ms.load(Ordering::Relaxed), now_ms);
+        let event_ms = load.progress_ms.load(Ordering::Relaxed);
+        fleet.suspicions.record_event(&server.vm, group, event_ms);
+        let silent_ms = fleet.own_pauses.running_ms(event_ms.max(load.busy_since_ms), now_ms);
         let (in_flight, unread) = load.total(now_ms);
         let mut limit_ms =
             suspicion::silence_limit_ms(&engine, server.pace, in_flight, unread, unreported_ms);
@@ -219,7 +221,10 @@
                 }
                 probe_members(fleet, group, effects);
             }
-            Step::GiveUp => mark_lost(fleet, now_ms, &server.vm, group, None, effects),
+            Step::MarkStalled => {
+                fleet.suspicions.mark_stalled(now_ms, &server.vm, group, silent_ms);
+                try_elsewhere(fleet, &server.vm, group, None, effects);
+            }
         }
     }
 }
--- a/crates/fleet/src/planner/review.rs
+++ b/crates/fleet/src/planner/review.rs
@@ -44,7 +44,7 @@
                 MemberState::Open if dead.is_some() => {
                     self.end_group(key, &members, false, "a member is dead", effects);
                 }
-                MemberState::Open if view.suspicions.is_stalled(&key.0, key.1) => {
+                MemberState::Open if view.suspicions.may_be_dissolved(&key.0, key.1) => {
                     self.end_group(key, &members, false, "the group makes no progress", effects);
                 }
                 MemberState::Open if is_draining => {
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -1,7 +1,6 @@
 //! The reducer: applies one event to the state and returns the effects to carry out.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use balsam_types::DataCentreName;
 use balsam_types::ModelName;
@@ -365,11 +364,6 @@
     if now_ms < server.cold_until_ms {
         fleet.loads.entry(&server.vm).cold_allowance.spend();
     }
-    let is_first = fleet.loads.get(&server.vm).is_some_and(|load| load.in_flight == 1);
-    if is_first {
-        // Silence is measured from the first request, not from the last event before it.
-        progress_ms.store(now_ms, Ordering::Relaxed);
-    }
     let (kind, vm) = (kind.clone(), server.vm.clone());
     let dispatched = Dispatched { kind, vm, arrival, has_continued: false };
     fleet.dispatched.insert(attempt_id, dispatched);
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -4,6 +4,10 @@
 //! do not notice for seconds. The first sign of the loss is that all answers of one head go silent
 //! at once, for longer than a pass under its load takes. The members are then probed on new
 //! connections; a member that does not answer proves the loss.
+//!
+//! A sound group may fall silent for a second or so and go on. While all its members answer, silence
+//! only keeps new requests away and starts other attempts; the group is dissolved if it is silent
+//! for longer than its head waits for a lost member.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -30,8 +34,12 @@
 /// becomes known late how many prompts of other nodes are read first.
 pub const UNSTARTED_SILENCE_MS: u64 = 700;
 
-/// Silence after which a group is given up although all its members answer.
-const GIVE_UP_SILENCE_MS: u64 = 2_000;
+/// Silence after which other attempts are started although all members of the group answer.
+const STALLED_SILENCE_MS: u64 = 2_000;
+
+/// Silence after which such a group may be dissolved. Its head gives up a lost member after 5 s and
+/// lists itself as broken, so a group that neither works nor is broken then is of no use.
+const DISSOLVE_SILENCE_MS: u64 = 5_000;
 
 /// Interval between two rounds of probes of a group.
 const PROBE_INTERVAL_MS: u64 = 500;
@@ -42,6 +50,10 @@
 /// How long a group that was found lost is not used; dissolving it takes less.
 const LOST_TTL_MS: u64 = 6_000;
 
+/// How long a silence is remembered: a group that is tried again seldom stays without requests for
+/// longer.
+const SILENCE_RETENTION_MS: u64 = 30_000;
+
 /// How long a group is not used based only on reports of other nodes: a few report intervals.
 const REPORTED_TTL_MS: u64 = 1_500;
 
@@ -68,13 +80,19 @@
         /// When they were last probed.
         probed_ms: u64,
     },
+    /// All members answered but the group makes no progress, and it is not used.
+    Stalled {
+        /// When it is tried again.
+        until_ms: u64,
+        /// Whether it has been silent for so long that it may be dissolved.
+        is_final: bool,
+    },
     /// The group is lost and is not used.
     Lost {
         /// When the suspicion expires.
         until_ms: u64,
-        /// The member that did not answer; `None` if all members answered but the group made no
-        /// progress.
-        member: Option<VmName>,
+        /// The member that did not answer.
+        member: VmName,
         /// When that member was last probed.
         probed_ms: u64,
         /// How this node knows.
@@ -103,14 +121,16 @@
     Nothing,
     /// Probe every member.
     Probe,
-    /// Give up the group.
-    GiveUp,
+    /// Stop using the group and start other attempts.
+    MarkStalled,
 }
 
 /// The suspicions of this node, by head.
 #[derive(Debug, Clone, Default)]
 pub struct Suspicions {
     by_head: HashMap<VmName, Suspicion>,
+    /// Since when each group has been silent that was found stalled.
+    silent_since_ms: BTreeMap<(GroupName, u64), u64>,
     /// The nodes that reported a group as lost, with the time of the report.
     reporters: BTreeMap<(GroupName, u64), BTreeMap<Arc<str>, u64>>,
 }
@@ -138,16 +158,18 @@
 
     /// Whether a group was found lost.
     pub fn is_lost(&self, group: &GroupName, epoch: u64) -> bool {
-        self.by_head
-            .values()
-            .any(|s| s.group == *group && s.epoch == epoch && matches!(s.stage, Stage::Lost { .. }))
+        self.by_head.values().any(|s| {
+            let is_unused = matches!(s.stage, Stage::Lost { .. } | Stage::Stalled { .. });
+            s.group == *group && s.epoch == epoch && is_unused
+        })
     }
 
-    /// Whether a group was found lost although all its members answered.
-    pub fn is_stalled(&self, group: &GroupName, epoch: u64) -> bool {
+    /// Whether a group has been silent for so long that it may be dissolved although all its members
+    /// answer.
+    pub fn may_be_dissolved(&self, group: &GroupName, epoch: u64) -> bool {
         self.by_head.values().any(|s| {
-            let answers = matches!(s.stage, Stage::Lost { member: None, .. });
-            s.group == *group && s.epoch == epoch && answers
+            let is_final = matches!(s.stage, Stage::Stalled { is_final: true, .. });
+            s.group == *group && s.epoch == epoch && is_final
         })
     }
 
@@ -161,8 +183,8 @@
     ) -> Step {
         let known = self.by_head.get(head).filter(|s| s.group == group.0 && s.epoch == group.1);
         match known.map(|s| &s.stage) {
-            Some(Stage::Lost { .. }) => return Step::Nothing,
-            _ if silent_ms >= GIVE_UP_SILENCE_MS => return Step::GiveUp,
+            Some(Stage::Lost { .. } | Stage::Stalled { .. }) => return Step::Nothing,
+            _ if silent_ms >= STALLED_SILENCE_MS => return Step::MarkStalled,
             Some(Stage::Probing { probed_ms }) if now_ms < *probed_ms + PROBE_INTERVAL_MS => {
                 return Step::Nothing;
             }
@@ -181,13 +203,55 @@
         }
     }
 
-    /// Marks a group as lost; returns false if it was already.
+    /// Records when the last event of any answer of a group arrived, which ends its silence.
+    pub fn record_event(&mut self, head: &VmName, group: &(GroupName, u64), event_ms: u64) {
+        if self.silent_since_ms.get(group).is_none_or(|since_ms| event_ms <= *since_ms) {
+            return;
+        }
+        self.silent_since_ms.remove(group);
+        if self.by_head.get(head).is_some_and(|s| matches!(s.stage, Stage::Stalled { .. })) {
+            self.by_head.remove(head);
+        }
+    }
+
+    /// Marks a group as stalled that has been silent for `silent_ms`, or since it was found stalled
+    /// before.
+    ///
+    /// Callers leave a silent group, and without answers nothing shows whether it goes on. So it is
+    /// tried again when its head would be broken, and may be dissolved if it is still silent.
+    pub fn mark_stalled(
+        &mut self,
+        now_ms: u64,
+        head: &VmName,
+        group: &(GroupName, u64),
+        silent_ms: u64,
+    ) {
+        let silent_from_ms = now_ms.saturating_sub(silent_ms);
+        let since_ms = *self.silent_since_ms.entry(group.clone()).or_insert(silent_from_ms);
+        let is_final = now_ms >= since_ms + DISSOLVE_SILENCE_MS;
+        let until_ms = if is_final { now_ms + LOST_TTL_MS } else { since_ms + DISSOLVE_SILENCE_MS };
+        let stage = Stage::Stalled { until_ms, is_final };
+        let suspicion = Suspicion { group: group.0.clone(), epoch: group.1, stage };
+        self.by_head.insert(head.clone(), suspicion);
+    }
+
+    /// Extends silences by a pause of this node, in which it could not hear the groups.
+    pub fn extend_silences(&mut self, paused_ms: u64) {
+        self.silent_since_ms.values_mut().for_each(|since_ms| *since_ms += paused_ms);
+        for suspicion in self.by_head.values_mut() {
+            if let Stage::Stalled { until_ms, .. } = &mut suspicion.stage {
+                *until_ms += paused_ms;
+            }
+        }
+    }
+
+    /// Marks a group as lost; returns false if it was already, or if it is stalled.
     pub fn mark_lost(
         &mut self,
         now_ms: u64,
         head: &VmName,
         group: &(GroupName, u64),
-        member: Option<VmName>,
+        member: VmName,
     ) -> bool {
         if self.is_lost(&group.0, group.1) {
             return false;
@@ -225,7 +289,7 @@
         group: &(GroupName, u64),
         member: VmName,
     ) -> bool {
-        let is_new = self.mark_lost(now_ms, head, group, Some(member));
+        let is_new = self.mark_lost(now_ms, head, group, member);
         self.defer_to_witnesses(now_ms, head, Evidence::Reported);
         is_new
     }
@@ -243,8 +307,8 @@
     /// Clears suspicions of groups whose lost member answers: a network cut to it has ended.
     pub fn clear_on_answer(&mut self, vm: &VmName) {
         self.by_head.retain(|_, s| match &s.stage {
-            Stage::Lost { member, .. } => member.as_ref() != Some(vm),
-            Stage::Probing { .. } => true,
+            Stage::Lost { member, .. } => member != vm,
+            Stage::Probing { .. } | Stage::Stalled { .. } => true,
         });
     }
 
@@ -252,8 +316,7 @@
     pub fn members_to_probe(&mut self, now_ms: u64) -> Vec<VmName> {
         let mut due = Vec::new();
         for suspicion in self.by_head.values_mut() {
-            if let Stage::Lost { member: Some(member), probed_ms, evidence, .. } =
-                &mut suspicion.stage
+            if let Stage::Lost { member, probed_ms, evidence, .. } = &mut suspicion.stage
                 && *evidence == Evidence::Witnessed
                 && now_ms >= *probed_ms + LOST_PROBE_INTERVAL_MS
             {
@@ -269,8 +332,9 @@
         self.reporters.retain(|_, reporters| {
             reporters.values().any(|at_ms| now_ms < *at_ms + REPORTED_TTL_MS)
         });
+        self.silent_since_ms.retain(|_, since_ms| now_ms < *since_ms + SILENCE_RETENTION_MS);
         self.by_head.retain(|head, s| match &s.stage {
-            Stage::Lost { until_ms, .. } => now_ms < *until_ms,
+            Stage::Lost { until_ms, .. } | Stage::Stalled { until_ms, .. } => now_ms < *until_ms,
             Stage::Probing { .. } => has_attempts(head),
         });
     }
@@ -281,9 +345,7 @@
     /// only for a while: otherwise nodes would confirm each other's reports forever.
     pub fn lost(&self, now_ms: u64) -> impl Iterator<Item = LostGroup> {
         self.by_head.values().filter_map(move |suspicion| {
-            let Stage::Lost { member: Some(member), evidence, .. } = &suspicion.stage else {
-                return None;
-            };
+            let Stage::Lost { member, evidence, .. } = &suspicion.stage else { return None };
             let is_own = match evidence {
                 Evidence::Witnessed => true,
                 Evidence::Observed { at_ms } => now_ms < at_ms + REPORTED_TTL_MS,
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod planning_node;
 mod quarantine;
 mod quarantine_simulation;
+mod silences;
 mod simulation;
 mod support;
 mod waiting;
--- a/crates/fleet/tests/fleet/planning_node.rs
+++ b/crates/fleet/tests/fleet/planning_node.rs
@@ -12,6 +12,7 @@
 use balsam_fleet::Order;
 use balsam_fleet::Target;
 use balsam_fleet::directory::ListChange;
+use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::event::LeaseEvent;
 use balsam_fleet::reduce;
 use balsam_types::VmName;
@@ -116,6 +117,12 @@
         self.targets.contains_key(&attempt_id).then_some(attempt_id)
     }
 
+    /// Ends an attempt whose caller leaves.
+    pub fn cancel(&mut self, attempt_id: AttemptId) {
+        self.targets.remove(&attempt_id);
+        self.apply(Event::Ended { attempt_id, outcome: AttemptOutcome::Cancelled });
+    }
+
     /// Lets an event arrive for every open answer.
     pub fn progress(&mut self) {
         let attempts: Vec<AttemptId> = self.targets.keys().copied().collect();
