--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -113,7 +113,7 @@
 
     /// Returns how many endpoints a model lacks compared with its share of all endpoints.
     fn shortfall(&self, endpoints: u32, model: &Model) -> f64 {
-        f64::from(endpoints) * model.share - f64::from(self.count(model) * model.size)
+        f64::from(endpoints) * model.share - f64::from(self.count(model)) * f64::from(model.size)
     }
 }
 
