Read on after a request is refused while its body is arriving

Callers whose request was refused by its head (no route, no key, no id, body too large) lost the refusal if they were still sending: a write failed, and one that stops there never reads the answer. Cause: hyper drops the body with the refusal and closes the connection, and bytes that arrive later are answered with a reset. A change of the configuration makes such refusals on connections that callers keep.

The refusal is still answered at once, but a task goes on reading and discarding the body, so that hyper keeps the connection for the next request; up to the limit for bodies, at least 1 MB, and for 5 s. A body that states too large a length is refused before it is read. With `Expect: 100-continue` the connection closes, as the caller may send the body or not.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -212,9 +212,11 @@
     request: http::Request<Incoming>,
     running: RunningRequest,
 ) -> Response<Body> {
+    let running = Arc::new(running);
     let (parts, mut body) = request.into_parts();
+    let expects_continue = parts.headers.contains_key(header::EXPECT);
     let id = parts.headers.get(&shared.dialect.request_id).cloned();
-    let open = shared.open.add(shared.hub.clone(), id.clone(), running);
+    let open = shared.open.add(shared.hub.clone(), id.clone(), running.clone());
     let parsed = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body).await;
     let mut response = match parsed {
         Ok(request) => {
@@ -223,7 +225,16 @@
             answer_request(&shared, request).await
         }
         Err(failure) => {
-            shared.log_refusal_by_head(id.as_ref(), failure, !body.is_end_stream());
+            let is_body_unread = !body.is_end_stream();
+            shared.log_refusal_by_head(id.as_ref(), failure, is_body_unread);
+            // A caller that expects `100 Continue` may or may not send the body after a refusal.
+            if is_body_unread && !expects_continue {
+                let discarding = request::discard_body(body, shared.limits().max_body_bytes);
+                tokio::spawn(async move {
+                    discarding.await;
+                    drop(running);
+                });
+            }
             failure.response()
         }
     };
--- a/crates/relay/src/open_requests.rs
+++ b/crates/relay/src/open_requests.rs
@@ -45,7 +45,7 @@
         self: &Arc<Self>,
         hub: Arc<Hub>,
         id: Option<HeaderValue>,
-        running: RunningRequest,
+        running: Arc<RunningRequest>,
     ) -> OpenRequestGuard {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         self.lock().insert(number, OpenRequest { id, arrived_ms: now_ms(), request: None });
@@ -87,7 +87,7 @@
     requests: Arc<OpenRequests>,
     hub: Arc<Hub>,
     number: u64,
-    _running: RunningRequest,
+    _running: Arc<RunningRequest>,
 }
 
 impl OpenRequestGuard {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Configuration;
@@ -18,10 +19,12 @@
 use http::Uri;
 use http::header;
 use http::request::Parts;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::answer::RequestFailure;
 use crate::clock::now_ms;
@@ -34,6 +37,12 @@
 /// A lower limit on the size of a head is not applied.
 const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
 
+/// Bytes of a refused body that are discarded at least before the connection is closed.
+const MIN_DISCARDED_BYTES: usize = 1024 * 1024;
+
+/// Time in which the body of a refused request must have arrived.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A request that the configuration allows, with its complete body.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -172,6 +181,9 @@
 }
 
 async fn read_body(body: &mut Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(RequestFailure::TooLarge);
+    }
     match Limited::new(body, limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RequestFailure::TooLarge),
@@ -179,6 +191,22 @@
     }
 }
 
+/// Reads and discards the rest of the body of a refused request.
+///
+/// hyper closes the connection if the body is dropped, and bytes that arrive later reset it, so that
+/// a caller that is still sending loses the refusal. A body that exceeds the limits is dropped.
+pub(crate) async fn discard_body(mut body: Incoming, max_body_bytes: usize) {
+    let mut left_bytes = max_body_bytes.max(MIN_DISCARDED_BYTES);
+    let discarding = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            let Some(left) = left_bytes.checked_sub(bytes) else { return };
+            left_bytes = left;
+        }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, discarding).await;
+}
+
 /// Removes hop-by-hop headers, the API key, and headers that only this node may set.
 fn endpoint_headers(mut headers: HeaderMap, dialect: &Dialect) -> HeaderMap {
     remove_hop_by_hop(&mut headers);
