Answer connections in the accept queue and arriving heads in a stop

Around a stop, callers that had connected and sent their request lost it without an answer: connections in the accept queue were reset when the listener closed, and a connection on which a part of a head had arrived was closed, since hyper takes it for idle until the head is complete.

At the close the node now accepts what is in the queue before it drops the listener, through the socket itself because the runtime may not have been told of it. Connections end by the idle time, which is 250 ms in a stop, instead of at once: kept ones that are idle for longer close as before, a new one gets time to bring its request, and a head has up to 1 s.

Tests on the code before: connections_in_the_accept_queue_are_answered failed ("Connection reset by peer"), and a_head_that_is_arriving_at_the_close_is_answered ("UnexpectedEof").

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -36,6 +36,13 @@
 /// size.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Time without a byte after which a connection without a request closes in a stop; one that was
+/// just opened is about to bring its first request.
+const IDLE_TIMEOUT_AT_CLOSE: Duration = Duration::from_millis(250);
+
+/// Time in which a head must arrive whole in a stop.
+const HEAD_TIMEOUT_AT_CLOSE: Duration = Duration::from_secs(1);
+
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -52,6 +59,8 @@
     head_since: Option<Instant>,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
+    /// Whether the node closes its connections, for which the limits are set.
+    is_closing: bool,
 }
 
 impl ActivityState {
@@ -77,7 +86,13 @@
 impl Activity {
     fn new(limits: CallerLimits) -> Self {
         let idle_since = Instant::now();
-        let state = ActivityState { running_requests: 0, idle_since, head_since: None, limits };
+        let state = ActivityState {
+            running_requests: 0,
+            idle_since,
+            head_since: None,
+            limits,
+            is_closing: false,
+        };
         Self { state: Mutex::new(state) }
     }
 
@@ -92,12 +107,24 @@
         }
     }
 
+    /// Closes the connection once nothing arrives any more. A head that is arriving, and a request
+    /// that a new connection is about to bring, still get an answer.
+    fn close(&self) {
+        let mut state = self.state();
+        state.is_closing = true;
+        state.limits.idle_timeout_ms = IDLE_TIMEOUT_AT_CLOSE.as_millis() as u64;
+        let head_timeout_ms = HEAD_TIMEOUT_AT_CLOSE.as_millis() as u64;
+        state.limits.header_timeout_ms = state.limits.header_timeout_ms.min(head_timeout_ms);
+    }
+
     /// Checks the deadline by the limits in force and those that its caller may rely on.
     fn expiry(&self, in_force: CallerLimits) -> Expiry {
         let mut state = self.state();
-        let limits = &mut state.limits;
-        limits.idle_timeout_ms = limits.idle_timeout_ms.max(in_force.idle_timeout_ms);
-        limits.header_timeout_ms = limits.header_timeout_ms.max(in_force.header_timeout_ms);
+        if !state.is_closing {
+            let limits = &mut state.limits;
+            limits.idle_timeout_ms = limits.idle_timeout_ms.max(in_force.idle_timeout_ms);
+            limits.header_timeout_ms = limits.header_timeout_ms.max(in_force.header_timeout_ms);
+        }
         let deadline = state.deadline();
         match state.head_since {
             _ if deadline > Instant::now() => Expiry::Keep(deadline),
@@ -130,7 +157,9 @@
         let mut state = self.activity.state();
         state.running_requests -= 1;
         state.idle_since = Instant::now();
-        state.limits = limits;
+        if !state.is_closing {
+            state.limits = limits;
+        }
     }
 }
 
@@ -204,10 +233,10 @@
         .header_read_timeout(None)
         .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
-    let mut closing = shared.closing.subscribe();
-    let mut close = pin!(closing.wait_for(|closing| *closing));
+    let mut close = pin!(shared.close_started());
     let mut timer = pin!(sleep_until(activity.state().deadline()));
     let mut is_closing = false;
+    let mut is_ending = false;
     poll_fn(|cx| {
         loop {
             // Polled before an idle connection is closed, so that a request in the socket is read.
@@ -215,12 +244,11 @@
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(());
             }
-            if !is_closing {
-                if close.as_mut().poll(cx).is_ready() {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                    continue;
-                }
+            if !is_closing && close.as_mut().poll(cx).is_ready() {
+                is_closing = true;
+                activity.close();
+            }
+            if !is_ending {
                 let deadline = activity.state().deadline();
                 if deadline < timer.deadline() {
                     timer.as_mut().reset(deadline);
@@ -229,8 +257,8 @@
             ready!(timer.as_mut().poll(cx));
             match activity.expiry(shared.limits()) {
                 Expiry::Keep(deadline) => timer.as_mut().reset(deadline),
-                Expiry::CloseIdle if !is_closing => {
-                    is_closing = true;
+                Expiry::CloseIdle if !is_ending => {
+                    is_ending = true;
                     connection.as_mut().graceful_shutdown();
                     timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,5 +1,7 @@
 //! Accepts callers' connections and handles their requests.
 
+use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -24,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::answer::Body;
 use crate::answer::RequestFailure;
@@ -75,7 +78,8 @@
     pub dialect: Dialect,
     pub options: FrontOptions,
     stopping: watch::Sender<bool>,
-    pub closing: watch::Sender<bool>,
+    /// Once connections are being closed, when every request must have an answer.
+    closing: watch::Sender<Option<Instant>>,
     open: Arc<OpenRequests>,
     connections: AtomicU64,
     /// Total size of the answers that are being buffered.
@@ -109,7 +113,7 @@
             dialect,
             options,
             stopping: watch::Sender::new(false),
-            closing: watch::Sender::new(false),
+            closing: watch::Sender::new(None),
             open: Arc::default(),
             connections: AtomicU64::new(0),
             buffered_bytes: AtomicUsize::new(0),
@@ -130,11 +134,11 @@
 
     /// Accepts connections until [`Front::close`].
     pub async fn serve(&self, listener: TcpListener) {
-        let mut closing = self.shared.closing.subscribe();
+        let mut close = pin!(self.shared.close_started());
         let mut close_expired_timer = tokio::time::interval(CLOSE_EXPIRED_INTERVAL);
         loop {
             let accepted = tokio::select! {
-                _ = closing.wait_for(|closing| *closing) => return,
+                _ = close.as_mut() => break,
                 _ = close_expired_timer.tick() => {
                     self.shared.client.close_expired();
                     continue;
@@ -150,6 +154,26 @@
                 }
             }
         }
+        if let Err(error) = self.accept_queue(listener) {
+            warn!(self.shared.hub.log, "accepting the last connections failed";
+                "kind" => "accept", "error" => %error);
+        }
+    }
+
+    /// Accepts the connections in the queue of a listener, which would reset them when it closes.
+    fn accept_queue(&self, listener: TcpListener) -> io::Result<()> {
+        // tokio may not know yet that there are connections.
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.accept(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
     }
 
     fn accept(&self, stream: TcpStream) {
@@ -176,9 +200,11 @@
         self.shared.stopping.send_replace(true);
     }
 
-    /// Stops accepting connections and closes each open one after its current request.
-    pub fn close(&self) {
-        self.shared.closing.send_replace(true);
+    /// Accepts the connections that wait, then none any more, and closes each open one after its
+    /// current request. Requests that still arrive are refused, and each one without an answer gets
+    /// one at `answer_by`.
+    pub fn close(&self, answer_by: Instant) {
+        self.shared.closing.send_replace(Some(answer_by));
     }
 
     /// Returns the number of requests whose answer is not complete.
@@ -275,6 +301,16 @@
 }
 
 impl Shared {
+    /// Waits until connections are being closed; returns when every request must have an answer.
+    pub async fn close_started(&self) -> Instant {
+        let mut closing = self.closing.subscribe();
+        match closing.wait_for(Option::is_some).await.map(|answer_by| *answer_by) {
+            Ok(Some(answer_by)) => answer_by,
+            // The sender is a field of this value.
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Returns the limits for callers that are in force.
     pub fn limits(&self) -> CallerLimits {
         self.hub.configuration().map(|configuration| configuration.limits).unwrap_or_default()
