Start attempts beside silent endpoints instead of ending their answers

Callers of the product's own interface got a 502 or a cut stream when a sound endpoint was silent for longer than model_silence_ms (2 s) or plain_silence_ms (30 s), also for requests that may run once and when no other endpoint could answer. Cause: the limits ended the exchange, the read of the body and each resume: a suspicion was acted on as a fact, by giving up what can't be had back.

Silence is now when another attempt begins. A stream is resumed beside the silent connection (crates/serve/answer.rs, source.rs); an idempotent request without a first part is tried at another group, or once more at the same one on a new connection, beside the silent attempt (flow.rs). The first that delivers ends the others. Without one, an answer ends by its endpoint, its caller or the deadline. A request that may run once waits. An attempt beside a silent one spends the retry budget and counts against max_attempts; the silent one keeps its permit and its in-flight count until it ends, since it may be running, and its outcome stays unknown.

Ruled out: resetting the limit by probes of the endpoint, which says nothing about the answer. A stream cannot continue at another endpoint, whose stream ids differ, so after the first event only its own endpoint is asked.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/decisions/0001-at-most-once.md`.
 
 mod admit;
+mod answer;
 mod attempt;
 mod body;
 mod caller;
@@ -22,6 +23,7 @@
 mod problem;
 mod respond;
 mod shared;
+mod source;
 mod target;
 
 pub use front::Front;
--- a/crates/serve/src/options.rs
+++ b/crates/serve/src/options.rs
@@ -34,9 +34,11 @@
     pub max_deadline_ms: u64,
     /// Timeout for opening a connection to an endpoint.
     pub connect_timeout_ms: u64,
-    /// How long a model engine may send nothing before or during a streamed answer.
+    /// After which silence of a model engine, before or during a streamed answer, a resume or
+    /// another attempt begins beside the silent one. Silence ends no answer.
     pub model_silence_ms: u64,
-    /// How long a plain service may send nothing before or during an answer.
+    /// After which silence of a plain service, or before an answer of an engine that is not
+    /// streamed, another attempt begins beside the silent one. Silence ends no answer.
     pub plain_silence_ms: u64,
     /// How long an unused connection to an endpoint is kept.
     pub endpoint_idle_ms: u64,
--- a/crates/serve/src/ports.rs
+++ b/crates/serve/src/ports.rs
@@ -219,7 +219,7 @@
     pub retry_after_ms: Option<u64>,
     /// The endpoint, for an attempt in this data centre.
     pub endpoint: Option<SocketAddr>,
-    /// Only one connection failed; the endpoint may answer on a new one.
+    /// No answer came before the deadline; the endpoint may be sound.
     pub is_connection_failure: bool,
     /// No cold-start permit was granted; the group may grant one later.
     pub is_permit_refused: bool,
--- a/crates/serve/src/target.rs
+++ b/crates/serve/src/target.rs
@@ -42,7 +42,7 @@
     pub data_centres: Vec<DataCentreName>,
     /// Groups whose owner refused a permit since the last delay.
     pub permit_refused_groups: Vec<GroupName>,
-    /// Groups that are tried once more on a new connection, because only a connection failed.
+    /// Groups that are tried once more on a new connection, because they were silent on another.
     pub fresh_connection_groups: Vec<GroupName>,
 }
 
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -8,5 +8,6 @@
 mod limits;
 mod repeated_refusals;
 mod shutdown;
+mod silent_endpoints;
 mod streams;
 mod support;
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -175,7 +175,7 @@
         "ms",
         2_000,
         50..=600_000,
-        "How long an endpoint connection may carry nothing while an answer is due.",
+        "Silence of an endpoint after which a resume or another attempt begins beside the silent one.",
     ),
     number(
         "limits.connect_timeout_ms",
