Close the longest idle connection, or answer 503, when too many are open

Callers over the limit of connections were closed without a word, and reset if they had sent their request, while connections that nobody used stayed open.

A new connection over the limit now replaces the one that is idle for longest, which closes unless a request arrives on it meanwhile. If all have a request, the new one is refused with 503, `Retry-After` and `Connection: close` after its head is read; up to an eighth over the limit and for 2 s each, which bounds the descriptors. Only beyond that it is dropped. The list of open connections is that of the product's own interface, which moves to crates/http and takes the choice as a closure.

Tests on the code before: both of full_node failed, "Connection reset by peer" on the new connection. Now they pass, with unread_bodies, changed_limits and two of shutdown (31), and all of balsam-serve (2 + 105).

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,8 +1,9 @@
-//! HTTP code shared by both request paths: connections to endpoints, splitting of event streams and
+//! HTTP code shared by both request paths: connections to endpoints and of callers, splitting of event streams and
 //! timeouts. See `docs/design.md`, section 6.
 
 pub mod client;
 pub mod headers;
+pub mod open_connections;
 pub mod reusable_timeout;
 pub mod sse;
 
@@ -11,6 +12,7 @@
 pub use client::Conn;
 pub use client::Reuse;
 pub use client::SendError;
+pub use open_connections::OpenConnections;
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
 pub use sse::Splitter;
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use balsam_fleet::configuration::CallerLimits;
+use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -26,11 +27,14 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::front::Shared;
 use crate::front::handle_request;
+use crate::front::refuse_request;
 
 /// Buffer for the head of a request. Limits of later versions hold for open connections up to this
 /// size.
@@ -43,12 +47,17 @@
 /// Time in which a head must arrive whole in a stop.
 const HEAD_TIMEOUT_AT_CLOSE: Duration = Duration::from_secs(1);
 
+/// Time for the first request of a connection over the limit, and for its refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What happens on a connection.
 pub(crate) struct Activity {
     state: Mutex<ActivityState>,
+    /// Asks for the end of the connection unless a request has arrived meanwhile.
+    close_idle: Notify,
 }
 
 struct ActivityState {
@@ -93,13 +102,25 @@
             limits,
             is_closing: false,
         };
-        Self { state: Mutex::new(state) }
+        Self { state: Mutex::new(state), close_idle: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, ActivityState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns when the connection became idle; `None` if a request runs or is arriving.
+    pub fn idle_since(&self) -> Option<Instant> {
+        let state = self.state();
+        let is_idle = state.running_requests == 0 && state.head_since.is_none();
+        is_idle.then_some(state.idle_since)
+    }
+
+    /// Closes the connection if it is still idle.
+    pub fn close_if_idle(&self) {
+        self.close_idle.notify_one();
+    }
+
     fn received(&self) {
         let mut state = self.state();
         if state.running_requests == 0 && state.head_since.is_none() {
@@ -216,15 +237,39 @@
 
 /// Serves the requests of a connection until it ends.
 pub(crate) async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let activity = Arc::new(Activity::new(shared.limits()));
+    let number = shared.open_connections.add(activity.clone());
+    drive(&shared, stream, activity, false).await;
+    shared.open_connections.remove(number);
+}
+
+/// Refuses the first request of a connection over the limit and closes it.
+pub(crate) async fn refuse(shared: Arc<Shared>, stream: TcpStream) {
+    let activity = Arc::new(Activity::new(shared.limits()));
+    let time = Duration::from_millis(shared.limits().header_timeout_ms).min(REFUSAL_TIMEOUT);
+    let _ = timeout(time, drive(&shared, stream, activity, true)).await;
+}
+
+async fn drive(
+    shared: &Arc<Shared>,
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    is_over_limit: bool,
+) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits();
-    let activity = Arc::new(Activity::new(limits));
     let service = {
         let (shared, activity) = (shared.clone(), activity.clone());
         service_fn(move |request| {
             let running = RunningRequest::start(shared.clone(), activity.clone());
             let shared = shared.clone();
-            async move { Ok::<_, Infallible>(handle_request(shared, request, running).await) }
+            async move {
+                let response = match is_over_limit {
+                    true => refuse_request(&shared, request, running),
+                    false => handle_request(shared, request, running).await,
+                };
+                Ok::<_, Infallible>(response)
+            }
         })
     };
     let socket = CallerSocket { stream, activity: activity.clone() };
@@ -235,6 +280,7 @@
     let mut connection = pin!(connection);
     let mut close = pin!(shared.close_started());
     let mut timer = pin!(sleep_until(activity.state().deadline()));
+    let mut close_idle = pin!(activity.close_idle.notified().fuse());
     let mut is_closing = false;
     let mut is_ending = false;
     poll_fn(|cx| {
@@ -248,6 +294,15 @@
                 is_closing = true;
                 activity.close();
             }
+            if !is_ending
+                && close_idle.as_mut().poll(cx).is_ready()
+                && activity.idle_since().is_some()
+            {
+                is_ending = true;
+                connection.as_mut().graceful_shutdown();
+                timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
+                continue;
+            }
             if !is_ending {
                 let deadline = activity.state().deadline();
                 if deadline < timer.deadline() {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -15,6 +15,7 @@
 use balsam_fleet::serving::RequestKind;
 use balsam_http::Client;
 use balsam_http::ClientOptions;
+use balsam_http::OpenConnections;
 use balsam_types::VmName;
 use http::HeaderValue;
 use http::Response;
@@ -32,6 +33,7 @@
 use crate::answer::RequestFailure;
 use crate::attempt::AttemptFailure;
 use crate::caller_conn;
+use crate::caller_conn::Activity;
 use crate::caller_conn::RunningRequest;
 use crate::clock::now_ms;
 use crate::dialect::Dialect;
@@ -50,6 +52,12 @@
 /// How often expired idle connections to endpoints are closed.
 const CLOSE_EXPIRED_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Part of the maximum number of connections up to which further ones are refused with an answer.
+const REFUSED_CONNECTIONS_DIVISOR: u64 = 8;
+
+/// `Retry-After` for the first request of a connection over the limit.
+const FULL_RETRY_MS: u64 = 200;
+
 /// Limits and timeouts of the request path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FrontOptions {
@@ -82,6 +90,7 @@
     closing: watch::Sender<Option<Instant>>,
     open: Arc<OpenRequests>,
     connections: AtomicU64,
+    pub open_connections: OpenConnections<Activity>,
     /// Total size of the answers that are being buffered.
     pub buffered_bytes: AtomicUsize,
     was_ready: AtomicBool,
@@ -116,6 +125,7 @@
             closing: watch::Sender::new(None),
             open: Arc::default(),
             connections: AtomicU64::new(0),
+            open_connections: OpenConnections::default(),
             buffered_bytes: AtomicUsize::new(0),
             was_ready: AtomicBool::new(false),
         };
@@ -178,21 +188,50 @@
 
     fn accept(&self, stream: TcpStream) {
         let shared = self.shared.clone();
+        let max_connections = shared.options.max_connections as u64;
         let connections = shared.connections.fetch_add(1, Ordering::Relaxed);
         let guard = ConnectionGuard(shared.clone());
-        if connections >= shared.options.max_connections as u64 {
-            shared.hub.metrics.connection_dropped();
-            if let Some(dropped) = shared.hub.log_limiter.take("connection_dropped") {
-                warn!(shared.hub.log, "connection is dropped: too many are open";
-                    "kind" => "connection_dropped", "connections" => connections,
-                    "open_requests" => self.open_requests(), "dropped_lines" => dropped);
-            }
+        if connections < max_connections {
+            tokio::spawn(async move {
+                caller_conn::serve(shared, stream).await;
+                drop(guard);
+            });
             return;
         }
-        tokio::spawn(async move {
-            let _guard = guard;
-            caller_conn::serve(shared, stream).await;
-        });
+        // An idle connection that closes is still counted for a moment.
+        let max_excess = max_connections / REFUSED_CONNECTIONS_DIVISOR + 1;
+        let idle = match connections < max_connections + max_excess {
+            true => shared.open_connections.take_lowest(Activity::idle_since),
+            false => return self.log_full(connections, "dropped"),
+        };
+        match idle {
+            Some(idle) => {
+                self.log_full(connections, "closed_idle");
+                idle.close_if_idle();
+                tokio::spawn(async move {
+                    caller_conn::serve(shared, stream).await;
+                    drop(guard);
+                });
+            }
+            None => {
+                self.log_full(connections, "refused");
+                tokio::spawn(async move {
+                    caller_conn::refuse(shared, stream).await;
+                    drop(guard);
+                });
+            }
+        }
+    }
+
+    /// Counts and logs what becomes of a connection over the limit.
+    fn log_full(&self, connections: u64, action: &'static str) {
+        let hub = &self.shared.hub;
+        hub.metrics.connection_over_limit(action);
+        if let Some(dropped) = hub.log_limiter.take("connection_over_limit") {
+            warn!(hub.log, "too many connections are open"; "kind" => "connection_over_limit",
+                "action" => action, "connections" => connections,
+                "open_requests" => self.open_requests(), "dropped_lines" => dropped);
+        }
     }
 
     /// Fails the readiness check; open and new connections are still served.
@@ -251,16 +290,7 @@
             answer_request(&shared, request).await
         }
         Err(failure) => {
-            let is_body_unread = !body.is_end_stream();
-            shared.log_refusal_by_head(id.as_ref(), failure, is_body_unread);
-            // A caller that expects `100 Continue` may or may not send the body after a refusal.
-            if is_body_unread && !expects_continue {
-                let discarding = request::discard_body(body, shared.limits().max_body_bytes);
-                tokio::spawn(async move {
-                    discarding.await;
-                    drop(running);
-                });
-            }
+            refuse_unread(&shared, id.as_ref(), failure, body, expects_continue, running);
             failure.response()
         }
     };
@@ -271,6 +301,43 @@
     response.map(|body| keep_open_until_sent(body, open))
 }
 
+/// Refuses the first request of a connection over the limit.
+pub(crate) fn refuse_request(
+    shared: &Arc<Shared>,
+    request: http::Request<Incoming>,
+    running: RunningRequest,
+) -> Response<Body> {
+    let failure = RequestFailure::NotRun { retry_after_ms: FULL_RETRY_MS };
+    let (parts, body) = request.into_parts();
+    let id = parts.headers.get(&shared.dialect.request_id);
+    let expects_continue = parts.headers.contains_key(header::EXPECT);
+    refuse_unread(shared, id, failure, body, expects_continue, Arc::new(running));
+    let mut response = failure.response();
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+/// Logs a refusal and reads on, so that a caller that is still sending gets it.
+fn refuse_unread(
+    shared: &Arc<Shared>,
+    id: Option<&HeaderValue>,
+    failure: RequestFailure,
+    body: Incoming,
+    expects_continue: bool,
+    running: Arc<RunningRequest>,
+) {
+    let is_body_unread = !body.is_end_stream();
+    shared.log_refusal_by_head(id, failure, is_body_unread);
+    // A caller that expects `100 Continue` may or may not send the body after a refusal.
+    if is_body_unread && !expects_continue {
+        let discarding = request::discard_body(body, shared.limits().max_body_bytes);
+        tokio::spawn(async move {
+            discarding.await;
+            drop(running);
+        });
+    }
+}
+
 /// Keeps a request open until its body has been sent.
 fn keep_open_until_sent(body: Body, open: OpenRequestGuard) -> Body {
     match body {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -14,7 +14,7 @@
     refusals: Counter<u64>,
     repeats: Counter<u64>,
     attempt_failures: Counter<u64>,
-    connections_dropped: Counter<u64>,
+    connections_over_limit: Counter<u64>,
     decisions: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
@@ -36,7 +36,9 @@
             refusals: meter.u64_counter("balsamturn.relay.refusals").build(),
             repeats: meter.u64_counter("balsamturn.relay.repeats").build(),
             attempt_failures: meter.u64_counter("balsamturn.relay.attempt_failures").build(),
-            connections_dropped: meter.u64_counter("balsamturn.relay.connections_dropped").build(),
+            connections_over_limit: meter
+                .u64_counter("balsamturn.relay.connections_over_limit")
+                .build(),
             decisions: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
@@ -62,8 +64,8 @@
         self.attempt_failures.add(1, &labels);
     }
 
-    pub(crate) fn connection_dropped(&self) {
-        self.connections_dropped.add(1, &[]);
+    pub(crate) fn connection_over_limit(&self, action: &'static str) {
+        self.connections_over_limit.add(1, &[KeyValue::new("action", action)]);
     }
 
     pub(crate) fn decision(&self, kind: &'static str, decision: &Decision) {
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -24,6 +24,7 @@
 
 use crate::open_connections::Activity;
 use crate::open_connections::ActivityGuard;
+use crate::open_connections::close_oldest_idle;
 use crate::shared::Shared;
 
 /// Pause after a failed accept, because a shortage of file descriptors may last for a while.
@@ -68,7 +69,7 @@
             let registry = shared.clone();
             let (number, activity) = Activity::start(&shared.open_connections);
             serve(shared, tree, stream, peer, activity).await;
-            registry.open_connections.lock().remove(&number);
+            registry.open_connections.remove(number);
         });
     }
 }
@@ -79,7 +80,7 @@
     if let Ok(permit) = shared.connection_slots.clone().try_acquire_owned() {
         return Some(permit);
     }
-    if !shared.open_connections.close_oldest_idle() {
+    if !close_oldest_idle(&shared.open_connections) {
         return None;
     }
     let slot = tokio::time::timeout(CLOSE_TIMEOUT, shared.connection_slots.clone().acquire_owned());
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use balsam_http::Client;
+use balsam_http::OpenConnections;
 use balsam_types::ClaimKey;
 use balsam_types::Outcome;
 use balsam_types::RouteSpec;
@@ -35,7 +36,6 @@
 use crate::keyed;
 use crate::keyed::KeyedResponse;
 use crate::metrics::Metrics;
-use crate::open_connections::OpenConnections;
 use crate::options::InvalidOptions;
 use crate::options::ServeOptions;
 use crate::ports::AttemptAnswer;
--- a/crates/serve/src/open_connections.rs
+++ b/crates/serve/src/open_connections.rs
@@ -1,54 +1,24 @@
 //! Callers' open connections, and which of them are idle.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use balsam_http::OpenConnections;
 use tokio::sync::Notify;
 
-/// The open connections, by ascending number in the order in which they were opened.
-#[derive(Default)]
-pub(crate) struct OpenConnections {
-    connections: Mutex<BTreeMap<u64, Arc<Activity>>>,
-    next_number: AtomicU64,
-}
-
-impl OpenConnections {
-    /// Returns the connections by their number.
-    pub fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Activity>>> {
-        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn add(&self, activity: Arc<Activity>) -> u64 {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        self.lock().insert(number, activity);
-        number
-    }
-
-    /// Closes the oldest connection that never had a request, or else the oldest one without a
-    /// running request; false if there is none. An answer that is still being sent is completed.
-    pub fn close_oldest_idle(&self) -> bool {
-        let mut connections = self.lock();
-        let is_unused = |a: &Arc<Activity>| !a.had_request.load(Ordering::Relaxed);
-        let is_idle = |a: &Arc<Activity>| a.running_requests.load(Ordering::Relaxed) == 0;
-        let unused = connections.iter().find(|(_, a)| is_unused(a));
-        let candidate = unused.or_else(|| connections.iter().find(|(_, a)| is_idle(a)));
-        let Some(number) = candidate.map(|(number, _)| *number) else {
-            return false;
-        };
-        connections.remove(&number).is_some_and(|activity| {
-            activity.close.notify_one();
-            true
-        })
-    }
+/// Closes the oldest connection that never had a request, or else the oldest one without a running
+/// request; false if there is none. An answer that is still being sent is completed.
+pub(crate) fn close_oldest_idle(connections: &OpenConnections<Activity>) -> bool {
+    let rank = |activity: &Activity| {
+        let is_idle = activity.running_requests.load(Ordering::Relaxed) == 0;
+        is_idle.then(|| activity.had_request.load(Ordering::Relaxed))
+    };
+    let closed = connections.take_lowest(rank);
+    closed.inspect(|activity| activity.close.notify_one()).is_some()
 }
 
 /// The activity of one connection.
@@ -81,7 +51,7 @@
 
 impl Activity {
     /// Registers a new open connection.
-    pub fn start(connections: &OpenConnections) -> (u64, Arc<Self>) {
+    pub fn start(connections: &OpenConnections<Self>) -> (u64, Arc<Self>) {
         let activity = Arc::new(Activity {
             close: Notify::new(),
             had_request: AtomicBool::new(false),
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use balsam_http::Client;
+use balsam_http::OpenConnections;
 use slog::Logger;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -16,7 +17,7 @@
 use crate::body::BodyMemory;
 use crate::copies::Copies;
 use crate::metrics::Metrics;
-use crate::open_connections::OpenConnections;
+use crate::open_connections::Activity;
 use crate::options::ServeOptions;
 use crate::ports::Ports;
 use crate::target::TargetSelector;
@@ -34,7 +35,7 @@
     pub stopping: watch::Sender<bool>,
     pub connection_slots: Arc<Semaphore>,
     pub body_memory: BodyMemory,
-    pub open_connections: OpenConnections,
+    pub open_connections: OpenConnections<Activity>,
     pub request_counter: Arc<OpenRequests>,
     pub ready: AtomicBool,
 }
