Answer requests that cross the beginning of a shutdown

Callers whose connection was in the accept queue when the shutdown began, and callers that sent a request on a connection without a running one, got a closed or reset connection without an answer. Cause: the accept loop returned and dropped the listener, a connection without a request was closed at once (also before its first request), and Front::shutdown did not wait for the accept loop.

The accept loop now takes what is in the queue (by the standard library's listener, since tokio's may not have been notified yet) and the shutdown waits for it. Connections without a request stay open for 0.5 s more. A request whose head arrives after the start is refused: 503 no-endpoint, not_run (unknown with a key), Retry-After, Connection: close. One whose head had arrived is open, as docs/design.md says, and runs to its end.

Ruled out: serving late requests too, which could hold up the end of the process. The close of an idle connection can still cross a request that is sent more than 0.5 s after the signal.

--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -29,6 +29,10 @@
 /// Pause after a failed accept, because a shortage of file descriptors may last for a while.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a connection without a request stays open after the shutdown began. A request may be
+/// under way on it, and gets a refusal until then; a close would leave it without an answer.
+const CLOSE_DELAY: Duration = Duration::from_millis(500);
+
 /// How long to wait for the slot of a connection that was asked to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -39,40 +43,70 @@
 /// 4096 connections.
 const CONNECTION_WINDOW_BYTES: u32 = 128 * 1024;
 
-/// Accepts connections until the shutdown starts; `respond` handles each request.
+/// Accepts connections until the shutdown starts, including those that are in the accept queue
+/// then, which a close of the listener would reset; `respond` handles each request.
 pub(crate) async fn accept<H, F>(shared: Arc<Shared>, listener: TcpListener, respond: H)
 where
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let tree = Arc::new(Tree::from(router(respond)));
+    let _accepting = AcceptGuard::new(shared.clone());
     let mut stopping = shared.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
-            _ = stopping.wait_for(|stop| *stop) => return,
+            _ = stopping.wait_for(|stop| *stop) => break,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let Some(permit) = acquire_slot(&shared).await else {
-            // Closing at once bounds the memory and lets the load balancer use another node.
-            shared.metrics.connections_refused.add(1, &[]);
-            continue;
-        };
-        let shared = shared.clone();
-        let tree = tree.clone();
-        tokio::spawn(async move {
-            let _permit = permit;
-            let registry = shared.clone();
-            let (number, activity) = Activity::start(&shared.open_connections);
-            serve(shared, tree, stream, peer, activity).await;
-            registry.open_connections.lock().remove(&number);
-        });
+        match accepted {
+            Ok((stream, peer)) => start(&shared, &tree, stream, peer).await,
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    // tokio's listener may report an empty queue before it has been notified of a connection.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, peer)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            start(&shared, &tree, stream, peer).await;
+        }
+    }
+}
+
+/// Counts one accept loop until it is dropped.
+struct AcceptGuard(Arc<Shared>);
+
+impl AcceptGuard {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.accept_loops.send_modify(|count| *count += 1);
+        Self(shared)
+    }
+}
+
+impl Drop for AcceptGuard {
+    fn drop(&mut self) {
+        self.0.accept_loops.send_modify(|count| *count -= 1);
     }
 }
 
+/// Serves a connection in its own task.
+async fn start(shared: &Arc<Shared>, tree: &Arc<Tree>, stream: TcpStream, peer: SocketAddr) {
+    let Some(permit) = acquire_slot(shared).await else {
+        // Closing at once bounds the memory and lets the load balancer use another node.
+        shared.metrics.connections_refused.add(1, &[]);
+        return;
+    };
+    let shared = shared.clone();
+    let tree = tree.clone();
+    tokio::spawn(async move {
+        let _permit = permit;
+        let registry = shared.clone();
+        let (number, activity) = Activity::start(&shared.open_connections);
+        serve(shared, tree, stream, peer, activity).await;
+        registry.open_connections.lock().remove(&number);
+    });
+}
+
 /// Acquires a slot for a connection. If none is free, closes the oldest connection without a
 /// running request, so that callers that open connections and send nothing cannot lock others out.
 async fn acquire_slot(shared: &Shared) -> Option<OwnedSemaphorePermit> {
@@ -122,6 +156,10 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut stopping = shared.stopping.subscribe();
+    let mut close_time = std::pin::pin!(async {
+        let _ = stopping.wait_for(|stop| *stop).await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    });
     let mut is_closing = false;
     let header_timeout = Duration::from_millis(shared.options.header_read_timeout_ms);
     let idle_timeout = Duration::from_millis(shared.options.idle_connection_ms);
@@ -137,7 +175,7 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            _ = stopping.wait_for(|stop| *stop), if !is_closing => {
+            () = close_time.as_mut(), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -11,8 +11,11 @@
 use balsam_types::Outcome;
 use balsam_types::RouteSpec;
 use balsam_types::claim::RequestHash;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::Version;
+use http::header;
 use opentelemetry::metrics::Meter;
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -78,6 +81,7 @@
             metrics: Metrics::new(meter),
             log,
             stopping: watch::Sender::new(false),
+            accept_loops: watch::Sender::new(0),
             connection_slots: Arc::new(Semaphore::new(options.max_connections)),
             open_connections: OpenConnections::default(),
             body_memory: BodyMemory::new(options.max_body_bytes_total),
@@ -146,13 +150,17 @@
         self.shared.request_counter.count.load(Ordering::SeqCst)
     }
 
-    /// Stops accepting connections and waits for open requests to end, for at most `limit`. Returns
+    /// Stops accepting connections and waits for open requests to end, for at most `limit`. A request
+    /// whose head arrives after the start is refused as not run, on a connection that then closes;
+    /// one whose head arrived before is served, even if its body arrives later. Returns
     /// the number of requests that were still open then.
     pub async fn shutdown(&self, limit: Duration) -> u64 {
         if !self.shared.stopping.send_replace(true) {
             slog::info!(self.shared.log, "shutdown started"; "open" => self.open_requests());
         }
         let all_ended = async {
+            let mut accept_loops = self.shared.accept_loops.subscribe();
+            let _ = accept_loops.wait_for(|count| *count == 0).await;
             loop {
                 let changed = self.shared.request_counter.changed.notified();
                 if self.open_requests() == 0 {
@@ -177,17 +185,34 @@
     let started = Instant::now();
     let open = shared.open_request();
     let request_id = caller::request_id(request.headers());
+    let is_http1 = request.version() <= Version::HTTP_11;
     let mut route = Arc::from("none");
-    let result = process(&shared, request, &request_id, &mut route, started, open).await;
+    let is_stopping = *shared.stopping.borrow();
+    let result = match is_stopping {
+        true => Err(stopping_failure(request.headers())),
+        false => process(&shared, request, &request_id, &mut route, started, open).await,
+    };
     let mut response = result.unwrap_or_else(|failure| {
         shared.metrics.request(&route, failure.outcome);
         shared.metrics.problem(failure.problem);
         respond::problem(&failure)
     });
     response.headers_mut().insert(caller::REQUEST_ID, request_id);
+    if is_http1 && *shared.stopping.borrow() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
+/// Returns the refusal of a request that arrived after the shutdown began.
+fn stopping_failure(headers: &HeaderMap) -> AttemptFailure {
+    let failure = not_run(ProblemKind::NoEndpoint, "the entry node is shutting down");
+    match headers.contains_key(caller::IDEMPOTENCY_KEY) {
+        true => with_unknown_outcome(failure),
+        false => failure,
+    }
+}
+
 /// An admitted request whose key, if it has one, was not yet looked up.
 struct Prepared {
     call: Call,
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod compare;
 mod keyed;
+mod late_requests;
 mod limits;
 mod repeated_refusals;
 mod shutdown;
