Read the rest of a refused request so that its refusal is not discarded

Callers whose request was refused by its head (401, 400) or its length (413) while the body was still arriving saw a reset connection and no refusal. Cause: hyper closes the connection after the answer, the socket was dropped, and bytes that arrived later were answered with a reset, which discards what the caller has not read.

A caller's socket that the node closes is now shut down for writing and read on for at most 2 s and 4 MiB (crates/serve/linger.rs). At most 256 closed sockets are read on, without a slot of a connection, so that callers that do not close keep nobody out; the shutdown waits for them.

Ruled out: reading the body before the refusal, which delays it and holds memory or a slot for callers without a credential; a second descriptor per connection, which doubles the descriptors of callers.

--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -22,6 +22,7 @@
 use viz::Router;
 use viz::Tree;
 
+use crate::linger::CallerSocket;
 use crate::open_connections::Activity;
 use crate::open_connections::ActivityGuard;
 use crate::shared::Shared;
@@ -152,8 +153,9 @@
             }
         })
     };
+    let socket = CallerSocket::new(stream, shared.clone());
     let builder = builder(&shared);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     let mut stopping = shared.stopping.subscribe();
     let mut close_time = std::pin::pin!(async {
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -37,6 +37,7 @@
 use crate::flow;
 use crate::keyed;
 use crate::keyed::KeyedResponse;
+use crate::linger;
 use crate::metrics::Metrics;
 use crate::open_connections::OpenConnections;
 use crate::options::InvalidOptions;
@@ -82,6 +83,7 @@
             log,
             stopping: watch::Sender::new(false),
             accept_loops: watch::Sender::new(0),
+            lingering: Arc::new(Semaphore::new(linger::MAX_LINGERING as usize)),
             connection_slots: Arc::new(Semaphore::new(options.max_connections)),
             open_connections: OpenConnections::default(),
             body_memory: BodyMemory::new(options.max_body_bytes_total),
@@ -172,6 +174,8 @@
             let slot_count = self.shared.options.max_connections;
             let slot_count = u32::try_from(slot_count).unwrap_or(u32::MAX);
             let _ = self.shared.connection_slots.acquire_many(slot_count).await;
+            // The end of the process resets a socket that is still read.
+            let _ = self.shared.lingering.acquire_many(linger::MAX_LINGERING).await;
         };
         let _ = tokio::time::timeout(limit, all_ended).await;
         let unfinished = self.open_requests();
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod flow;
 mod front;
 mod keyed;
+mod linger;
 mod metrics;
 mod open_connections;
 mod options;
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -35,6 +35,8 @@
     /// The number of loops that accept connections.
     pub accept_loops: watch::Sender<usize>,
     pub connection_slots: Arc<Semaphore>,
+    /// For sockets that are read on after the close.
+    pub lingering: Arc<Semaphore>,
     pub body_memory: BodyMemory,
     pub open_connections: OpenConnections,
     pub request_counter: Arc<OpenRequests>,
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -4,6 +4,7 @@
 mod broken_answers;
 mod budget;
 mod compare;
+mod early_refusals;
 mod keyed;
 mod late_requests;
 mod limits;
