--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -33,7 +33,11 @@
     pub metrics: Metrics,
     pub log: Logger,
     pub stopping: watch::Sender<bool>,
+    /// The number of loops that accept connections.
+    pub accept_loops: watch::Sender<usize>,
     pub connection_slots: Arc<Semaphore>,
+    /// For sockets that are read on after the close.
+    pub lingering: Arc<Semaphore>,
     pub body_memory: BodyMemory,
     pub open_connections: OpenConnections<Activity>,
     pub request_counter: Arc<OpenRequests>,
