Take a silent endpoint for dead only after 2 s without an answer

Callers of all nodes lost the answers of a group when one probe of a member had no answer within 220 ms: the planning node ordered the group to leave. A sound server that falls silent for a second answers no probe either, and a node that is starved of processor time reads its answers late.

Cause: a refused connection and a missing answer were the same "not alive", and one of them was proof. A probe now tells them apart. Refused by the address while others of the data centre answer is proof at once, as before: an ended process refuses. A missing answer still makes the group lost at this node, so that other attempts start and no request goes there, but the member counts as dead only when its probes, sent every 0.5 s, have stayed unanswered for 2 s, in which callers leave a silent stream. Unanswered probes more than 1.5 s apart are no silence. A silent endpoint gets no new group. A forming group that has opened is judged as an open one.

Evidence, with MEMBER_SILENCE_MS = 0, as before: a_member_that_answers_after_a_silence_keeps_its_group failed for 1,000 and 1,800 ms and unanswered_probes_far_apart_are_no_silence failed, all with [("one", Leave { group: "large.1", epoch: 1 }), ...]; on real connections a_group_that_was_silent_for_a_second_is_kept failed: the head had lost its group (left: "m.65537" open, right: None).

Ruled out: a longer timeout of the probe, as it would delay the other attempts too; a second probe at once, as it falls into the same silence. Not measured: the price for hosts that vanish without refusing connections, up to 2.5 s until their group is replaced; processes that crash refuse and are replaced as fast as before.

The suites of fleet (but for the known failure a_short_model_gets_groups_from_hosts_without_its_weights), adapter (path) and relay pass.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -65,13 +65,15 @@
         /// How long it wants no requests.
         pause_ms: u64,
     },
-    /// A probe of an endpoint ended.
+    /// A probe of an endpoint was answered or refused.
     Probed {
         /// The endpoint.
         vm: VmName,
-        /// Whether it answered in time.
+        /// Whether it answered; otherwise nothing listens at its address.
         is_alive: bool,
     },
+    /// A probe of an endpoint was neither answered nor refused in time.
+    ProbeUnanswered(VmName),
     /// The evidence on prompt segments that the store keeps was read.
     QuarantineRead(Vec<SegmentEvidence>),
     /// The store refused a call of this node or did not answer it.
@@ -363,6 +365,17 @@
     }
 }
 
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeAnswer {
+    /// The endpoint answered.
+    Alive,
+    /// Nothing listens at the endpoint's address, so its process has ended.
+    Refused,
+    /// No answer arrived in time. The endpoint, or this node, may only be slow.
+    Unanswered,
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderAnswer {
--- a/crates/fleet/src/losses.rs
+++ b/crates/fleet/src/losses.rs
@@ -14,6 +14,9 @@
 use crate::event::Decision;
 use crate::event::Effect;
 use crate::event::LostGroup;
+use crate::event::Order;
+use crate::event::OrderAnswer;
+use crate::event::ProbeAnswer;
 use crate::formation;
 use crate::serving::RequestKind;
 use crate::serving::Server;
@@ -34,7 +37,7 @@
     let skipped: Vec<Effect> = effects.extract_if(.., is_skipped).collect();
     for effect in skipped {
         if let Effect::Probe { vm, .. } = effect {
-            probed(fleet, now_ms, &vm, true, effects);
+            probed(fleet, now_ms, &vm, ProbeAnswer::Alive, effects);
         }
     }
 }
@@ -57,9 +60,10 @@
     fleet: &mut Fleet,
     now_ms: u64,
     vm: &VmName,
-    is_alive: bool,
+    answer: ProbeAnswer,
     effects: &mut Vec<Effect>,
 ) {
+    let is_alive = answer == ProbeAnswer::Alive;
     if !is_alive && fleet.own_pauses.may_hide_answer(now_ms) {
         if let Some(endpoint) = fleet.directory.get(vm) {
             effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
@@ -67,7 +71,7 @@
         return;
     }
     match fleet.directory.get(vm) {
-        Some(endpoint) => fleet.planner.probed(now_ms, endpoint, is_alive),
+        Some(endpoint) => fleet.planner.probed(now_ms, endpoint, answer),
         None => fleet.planner.departed_probed(now_ms, vm, is_alive),
     }
     if is_alive {
@@ -77,6 +81,30 @@
     }
 }
 
+/// Records that an endpoint answered this node.
+pub(crate) fn heard_from(fleet: &mut Fleet, now_ms: u64, vm: &VmName) {
+    if let Some(endpoint) = fleet.directory.get(vm) {
+        fleet.planner.heard_from(now_ms, &endpoint.data_centre);
+    }
+}
+
+/// Applies the answer to an order. One that timed out in a pause of this node may have been answered.
+pub(crate) fn order_answered(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    vm: &VmName,
+    order: &Order,
+    answer: OrderAnswer,
+) {
+    let is_heard = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused);
+    if is_heard {
+        heard_from(fleet, now_ms, vm);
+    }
+    if is_heard || !fleet.own_pauses.may_hide_answer(now_ms) {
+        fleet.planner.answered(now_ms, vm, order, answer);
+    }
+}
+
 /// Applies another node's report that a group is lost.
 ///
 /// The witnesses of the member probe it themselves; other nodes accept the reports of two nodes.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -33,6 +33,7 @@
 use crate::event::Leadership;
 use crate::event::Order;
 use crate::event::OrderAnswer;
+use crate::event::ProbeAnswer;
 use crate::formation;
 use crate::formation::ObservedGroup;
 use crate::planner::idle::IdleTime;
@@ -71,6 +72,17 @@
 /// Interval between two probes of an endpoint that is listed but was found dead.
 const DEAD_PROBE_INTERVAL_MS: u64 = 1_000;
 
+/// How long an endpoint must leave its probes unanswered before it counts as dead: a sound one may
+/// fall silent for a second or so, and callers leave a silent stream after 2 s at the earliest.
+const MEMBER_SILENCE_MS: u64 = 2_000;
+
+/// Interval between two probes of such an endpoint.
+const SILENT_PROBE_INTERVAL_MS: u64 = 500;
+
+/// Time between two unanswered probes after which the silence is measured anew: the longest interval
+/// between probes of a witness, with its timeout and a margin.
+const SILENT_PROBE_GAP_MS: u64 = 1_500;
+
 /// Maximum age of an answer that shows that a data centre can be reached. A failed probe takes
 /// longer, so the answer arrived after the probe began, and a network cut is not mistaken for a
 /// dead endpoint.
@@ -123,8 +135,10 @@
     ending: BTreeMap<GroupKey, Ending>,
     /// Endpoints whose membership is void up to this epoch.
     void_epochs: BTreeMap<VmName, u64>,
-    /// Endpoints that did not answer a probe, with the time of the last probe.
+    /// Endpoints that are known to be dead, with the time of the last probe.
     dead: BTreeMap<VmName, u64>,
+    /// Endpoints that leave probes unanswered: since when, and the time of the last probe.
+    silent: BTreeMap<VmName, (u64, u64)>,
     departed: BTreeMap<VmName, (u64, Endpoint)>,
     headless_since_ms: BTreeMap<GroupKey, u64>,
     /// The head of each group and when it was last listed.
@@ -214,6 +228,10 @@
         self.forming.values_mut().for_each(|forming| forming.started_ms += paused_ms);
         self.headless_since_ms.values_mut().for_each(|since_ms| *since_ms += paused_ms);
         self.last_growth.1 += paused_ms;
+        for (since_ms, probed_ms) in self.silent.values_mut() {
+            *since_ms += paused_ms;
+            *probed_ms += paused_ms;
+        }
     }
 
     /// Remembers an endpoint that left the list.
@@ -227,18 +245,34 @@
         self.heard_from.insert(data_centre.clone(), now_ms);
     }
 
-    /// Records the result of a probe. A missing answer proves that an endpoint is dead only if
-    /// others of its data centre answer in the meantime.
-    pub fn probed(&mut self, now_ms: u64, endpoint: &Endpoint, is_alive: bool) {
+    /// Records the result of a probe. Anything but an answer counts only if others of the data centre
+    /// answer in the meantime, and a missing answer only if it is missing for long.
+    pub fn probed(&mut self, now_ms: u64, endpoint: &Endpoint, answer: ProbeAnswer) {
         let vm = &endpoint.vm;
         self.inconclusive.remove(vm);
-        if is_alive {
-            self.dead.remove(vm);
-            self.heard_from(now_ms, &endpoint.data_centre);
-        } else if self.has_heard_from(now_ms, &endpoint.data_centre) {
+        let is_dead = match answer {
+            ProbeAnswer::Alive => {
+                self.dead.remove(vm);
+                self.silent.remove(vm);
+                self.heard_from(now_ms, &endpoint.data_centre);
+                return;
+            }
+            _ if !self.has_heard_from(now_ms, &endpoint.data_centre) => {
+                self.silent.remove(vm);
+                self.inconclusive.insert(vm.clone(), now_ms);
+                return;
+            }
+            ProbeAnswer::Refused => true,
+            ProbeAnswer::Unanswered => {
+                let known = self.silent.get(vm);
+                let known = known.filter(|(_, at_ms)| now_ms < at_ms + SILENT_PROBE_GAP_MS);
+                let since_ms = known.map_or(now_ms, |(since_ms, _)| *since_ms);
+                self.silent.insert(vm.clone(), (since_ms, now_ms));
+                now_ms >= since_ms + MEMBER_SILENCE_MS
+            }
+        };
+        if is_dead {
             self.dead.insert(vm.clone(), now_ms);
-        } else {
-            self.inconclusive.insert(vm.clone(), now_ms);
         }
     }
 
@@ -322,6 +356,7 @@
         self.last_epoch = self.last_epoch.max(highest);
         let mut effects = Vec::new();
         self.probe_dead(view, &mut effects);
+        self.probe_silent(view, &mut effects);
         self.probe_inconclusive(view, &mut effects);
         self.advance_forming(view, &observed, &mut effects);
         self.review(view, &observed, &mut effects);
@@ -367,7 +402,7 @@
             let companion = view.directory.iter().find(|other| {
                 other.vm != vm
                     && other.data_centre == endpoint.data_centre
-                    && !self.dead.contains_key(&other.vm)
+                    && self.has_no_failed_probe(&other.vm)
             });
             if let Some(other) = companion {
                 effects.push(Effect::Probe { vm: other.vm.clone(), address: other.address });
@@ -388,6 +423,20 @@
         }
     }
 
+    /// Probes endpoints that left a probe unanswered until they answer or are known to be dead.
+    fn probe_silent(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
+        let dead = &self.dead;
+        self.silent.retain(|vm, _| view.directory.get(vm).is_some() && !dead.contains_key(vm));
+        for (vm, (_, probed_ms)) in &mut self.silent {
+            if let Some(endpoint) = view.directory.get(vm)
+                && view.now_ms >= *probed_ms + SILENT_PROBE_INTERVAL_MS
+            {
+                *probed_ms = view.now_ms;
+                effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
+            }
+        }
+    }
+
     fn advance_forming(
         &mut self,
         view: &View<'_>,
@@ -402,14 +451,14 @@
             let size = forming.members.len() as u32;
             let lost = forming.members.iter().find(|vm| !self.is_usable(view, vm));
             let head_state = group.and_then(ObservedGroup::head).map(|head| head.state);
-            if lost.is_some() || view.now_ms >= forming.started_ms + forming.timeout_ms {
-                let reason = if lost.is_some() { "a member was lost" } else { "joining failed" };
-                self.forming.remove(&name);
-                self.end_group(&key, &forming.members, false, reason, effects);
-            } else if head_state == Some(MemberState::Open) {
+            if head_state == Some(MemberState::Open) {
                 self.forming.remove(&name);
                 effects
                     .push(Effect::LogDecision(Decision::GroupServes { group: name, epoch: key.1 }));
+            } else if lost.is_some() || view.now_ms >= forming.started_ms + forming.timeout_ms {
+                let reason = if lost.is_some() { "a member was lost" } else { "joining failed" };
+                self.forming.remove(&name);
+                self.end_group(&key, &forming.members, false, reason, effects);
             } else if group.is_some_and(|group| group.is_ready(size)) {
                 if let Some(forming) = self.forming.get_mut(&name) {
                     forming.is_opening = true;
@@ -473,7 +522,12 @@
     /// Whether an endpoint can be a member of a group.
     fn is_usable(&self, view: &View<'_>, vm: &VmName) -> bool {
         let listed = view.directory.get(vm);
-        listed.is_some_and(|endpoint| !endpoint.is_draining) && !self.dead.contains_key(vm)
+        listed.is_some_and(|endpoint| !endpoint.is_draining) && self.has_no_failed_probe(vm)
+    }
+
+    /// Whether an endpoint answered its last probe or was not probed.
+    fn has_no_failed_probe(&self, vm: &VmName) -> bool {
+        !self.dead.contains_key(vm) && !self.silent.contains_key(vm)
     }
 
     /// Whether an endpoint may be assigned to a new group.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -24,8 +24,8 @@
 use crate::event::Event;
 use crate::event::Leadership;
 use crate::event::LeaseEvent;
-use crate::event::OrderAnswer;
 use crate::event::PeerReport;
+use crate::event::ProbeAnswer;
 use crate::event::Refusal;
 use crate::event::RefuseReason;
 use crate::event::Scope;
@@ -59,7 +59,7 @@
                 if let Some(endpoint) = fleet.directory.get(&vm) {
                     fleet.reachability.answered(&endpoint.data_centre);
                 }
-                heard_from(fleet, now_ms, &vm);
+                losses::heard_from(fleet, now_ms, &vm);
                 fleet.quarantine.survived(now_ms, &vm);
             }
         }
@@ -86,19 +86,17 @@
             effects.push(Effect::LogDecision(Decision::EndpointPaused { vm, pause_ms }));
         }
         Event::Probed { vm, is_alive } => {
-            losses::probed(fleet, now_ms, &vm, is_alive, &mut effects)
+            let answer = if is_alive { ProbeAnswer::Alive } else { ProbeAnswer::Refused };
+            losses::probed(fleet, now_ms, &vm, answer, &mut effects)
+        }
+        Event::ProbeUnanswered(vm) => {
+            losses::probed(fleet, now_ms, &vm, ProbeAnswer::Unanswered, &mut effects)
         }
         Event::QuarantineRead(evidence) => fleet.quarantine.apply_evidence(now_ms, &evidence),
         Event::StoreLost => fleet.store_lost_ms = Some(now_ms),
         Event::Lease(update) => apply_lease_event(fleet, now_ms, update, &mut effects),
         Event::OrderAnswered { vm, order, answer } => {
-            let is_heard = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused);
-            if is_heard {
-                heard_from(fleet, now_ms, &vm);
-            }
-            if is_heard || !fleet.own_pauses.may_hide_answer(now_ms) {
-                fleet.planner.answered(now_ms, &vm, &order, answer);
-            }
+            losses::order_answered(fleet, now_ms, &vm, &order, answer)
         }
         Event::Tick => tick(fleet, now_ms, &mut effects),
     }
@@ -117,12 +115,6 @@
     }
 }
 
-fn heard_from(fleet: &mut Fleet, now_ms: u64, vm: &VmName) {
-    if let Some(endpoint) = fleet.directory.get(vm) {
-        fleet.planner.heard_from(now_ms, &endpoint.data_centre);
-    }
-}
-
 fn apply_lease_event(fleet: &mut Fleet, now_ms: u64, event: LeaseEvent, effects: &mut Vec<Effect>) {
     match event {
         LeaseEvent::Read { end, last } => fleet.lease.read(now_ms, end, last),
@@ -404,7 +396,7 @@
     record_evidence(fleet, now_ms, &dispatched, outcome);
     let kind = dispatched.kind;
     if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
-        heard_from(fleet, now_ms, &running.vm);
+        losses::heard_from(fleet, now_ms, &running.vm);
         fleet.budget(now_ms, &kind.pool).record_success(now_ms);
         fleet.waiting.answered(&kind, now_ms.saturating_sub(running.sent_ms));
     }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -22,6 +22,7 @@
 use balsam_fleet::Refusal;
 use balsam_fleet::Target;
 use balsam_fleet::event::AttemptOutcome;
+use balsam_fleet::event::ProbeAnswer;
 use balsam_fleet::event::SentRequest;
 use balsam_fleet::reduce;
 use balsam_types::VmName;
@@ -295,12 +296,17 @@
         let hub = self.clone();
         let call = (self.calls.probe)(address);
         tokio::spawn(async move {
-            let is_alive = call.await;
-            if !is_alive {
+            let answer = call.await;
+            if answer != ProbeAnswer::Alive {
                 info!(hub.log, "endpoint did not answer a probe"; "kind" => "probe",
-                    "vm" => %vm, "address" => %address);
+                    "vm" => %vm, "address" => %address,
+                    "is_refused" => answer == ProbeAnswer::Refused);
             }
-            hub.apply(Event::Probed { vm, is_alive });
+            hub.apply(match answer {
+                ProbeAnswer::Alive => Event::Probed { vm, is_alive: true },
+                ProbeAnswer::Refused => Event::Probed { vm, is_alive: false },
+                ProbeAnswer::Unanswered => Event::ProbeUnanswered(vm),
+            });
         });
     }
 
