Bound the numbers in datagrams of other nodes

A datagram with a number at the limit of its type ended the task or the request that used it next: unread tokens of 2^64 - 1 overflowed in load.rs, a summary of 2^32 - 1 nodes or with an age of 2^64 - 1 ms in state.rs. A release build wraps. Demand that is infinite or no number made the total of a model so, negative demand hid that of other nodes, an operators' position of 2^64 - 1 made the node drop every later evacuation, and an update of the list that ends there made it read from there on.

The decoder now checks these numbers; a datagram out of bounds is dropped and logged like one that cannot be decoded. Sums over nodes saturate. Ages of evidence were subtracted with saturation before.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -43,6 +43,10 @@
     is_released: bool,
 }
 
+/// Highest offset of a record that is believed. The generation of a term is its offset plus one, and
+/// the epochs of its groups contain the generation from bit 16 on.
+pub const MAX_OFFSET: u64 = (1 << 45) - 2;
+
 /// How long before the end of the lease its holder stops using it.
 const HANDOVER_MARGIN_MS: u64 = 200;
 
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -74,7 +74,7 @@
     pub fn expected(&self, now_ms: u64) -> (u32, u64) {
         let unread =
             self.peers.values().map(|(at_ms, _, tokens)| unread_by_now(now_ms, *at_ms, *tokens));
-        (self.total(now_ms).0, self.unread_tokens + unread.sum::<u64>())
+        (self.total(now_ms).0, unread.fold(self.unread_tokens, u64::saturating_add))
     }
 
     /// Returns the requests of all nodes and the prompt tokens that were unread at the time of the
@@ -85,7 +85,7 @@
             .values()
             .filter(|(at_ms, ..)| now_ms < at_ms.saturating_add(PEER_REPORT_TTL_MS));
         fresh.fold((self.in_flight, self.unread_tokens), |(in_flight, unread), peer| {
-            (in_flight + peer.1, unread + peer.2)
+            (in_flight.saturating_add(peer.1), unread.saturating_add(peer.2))
         })
     }
 }
@@ -93,7 +93,7 @@
 /// Returns how many of the unread tokens reported by another node are probably still unread.
 fn unread_by_now(now_ms: u64, at_ms: u64, tokens: u64) -> u64 {
     let left_ms = PEER_READ_MS.saturating_sub(now_ms.saturating_sub(at_ms));
-    tokens * left_ms / PEER_READ_MS
+    tokens.saturating_mul(left_ms) / PEER_READ_MS
 }
 
 /// A node's share of the request rate that an endpoint can take during its cold start.
@@ -243,8 +243,10 @@
                 is_chosen(node) && now_ms < at_ms.saturating_add(PEER_REPORT_TTL_MS)
             });
             let own = (load.in_flight, load.unread_tokens);
-            let (in_flight, unread_tokens) = chosen
-                .fold(own, |sum, (_, (_, in_flight, tokens))| (sum.0 + in_flight, sum.1 + tokens));
+            let (in_flight, unread_tokens) =
+                chosen.fold(own, |sum, (_, (_, in_flight, tokens))| {
+                    (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*tokens))
+                });
             (in_flight > 0).then(|| PeerLoad { vm: vm.clone(), in_flight, unread_tokens })
         };
         self.loads.iter().filter_map(sum).collect()
@@ -256,7 +258,8 @@
         let peer = self.entry(&sent.vm).peers.entry(node.clone()).or_insert(fresh);
         // Part of what was unread at an earlier time has been read since.
         let unread = unread_by_now(now_ms, peer.0, peer.2);
-        *peer = (now_ms, peer.1 + 1, unread + u64::from(sent.prompt_tokens));
+        let prompt_tokens = u64::from(sent.prompt_tokens);
+        *peer = (now_ms, peer.1.saturating_add(1), unread.saturating_add(prompt_tokens));
     }
 
     /// Removes the load that another node reported.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -46,7 +46,7 @@
     let Candidate { in_flight, unread_tokens, pace, .. } = *candidate;
     let current_ms = pass_ms(engine, pace, in_flight, unread_tokens);
     let read_ms = f64::from(prompt_tokens) / engine.read_per_ms * pace;
-    let excess = f64::from((in_flight + 1).saturating_sub(candidate.slots));
+    let excess = f64::from(in_flight.saturating_add(1).saturating_sub(candidate.slots));
     // A request beyond the slots waits for a running one to end.
     let wait_ms = excess * current_ms * PASSES_PER_ANSWER / f64::from(candidate.slots.max(1));
     current_ms * MEAN_REMAINING_PASS + current_ms + read_ms + wait_ms + candidate.distance_ms
@@ -65,8 +65,8 @@
 pub fn read_wait_ms(engine: &Engine, candidate: &Candidate, arrival: &Arrival) -> f64 {
     let Candidate { in_flight, unread_tokens, pace, .. } = *candidate;
     let limit_ms = arrival.gap_target_ms as f64 * PASS_SHARE;
-    let tokens = unread_tokens + u64::from(arrival.prompt_tokens);
-    let excess_ms = pass_ms(engine, pace, in_flight + 1, tokens) - limit_ms;
+    let tokens = unread_tokens.saturating_add(u64::from(arrival.prompt_tokens));
+    let excess_ms = pass_ms(engine, pace, in_flight.saturating_add(1), tokens) - limit_ms;
     let unread_ms = unread_tokens as f64 / engine.read_per_ms * pace;
     // A prompt that is too long for any pass goes to a group that reads no other prompt.
     excess_ms.min(unread_ms).max(0.0)
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -74,7 +74,7 @@
         let heard_ms = now_ms.saturating_sub(self.heard_ms);
         match self.scope {
             Scope::Node => (1, heard_ms),
-            Scope::DataCentre { nodes, age_ms } => (nodes, heard_ms + age_ms),
+            Scope::DataCentre { nodes, age_ms } => (nodes, heard_ms.saturating_add(age_ms)),
         }
     }
 }
@@ -199,7 +199,7 @@
     /// Returns the number of live nodes, including this one.
     pub fn nodes(&self, now_ms: u64) -> u32 {
         let live = self.peers.values().filter(|peer| peer.is_live(now_ms));
-        1 + live.map(|peer| peer.node_count_and_age_ms(now_ms).0).sum::<u32>()
+        live.map(|peer| peer.node_count_and_age_ms(now_ms).0).fold(1, u32::saturating_add)
     }
 
     /// Returns the work that other nodes sent to a model and that is not known here yet.
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -9,6 +9,7 @@
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
+use balsam_fleet::lease::MAX_OFFSET;
 use balsam_fleet::operators::OperatorsReport;
 use balsam_fleet::quarantine::CrashEvidence;
 use balsam_fleet::quarantine::QuarantineReport;
@@ -23,6 +24,22 @@
 
 use crate::gossip::ListUpdate;
 
+/// Highest number of requests that a report may state for one endpoint.
+const MAX_IN_FLIGHT: u32 = 1 << 24;
+
+/// Highest number of unread tokens that a report may state for one endpoint: as many requests with
+/// prompts of 2^32 tokens.
+const MAX_UNREAD_TOKENS: u64 = 1 << 56;
+
+/// Highest number of busy groups that a report may state: products with it must remain finite.
+const MAX_BUSY_GROUPS: f64 = 1e12;
+
+/// Highest number of nodes that a summary may state: no data centre has as many.
+const MAX_NODES: u32 = 65_536;
+
+/// Highest average age of the figures in a summary: a day. They count for seconds.
+const MAX_AGE_MS: u64 = 86_400_000;
+
 /// The decoded contents of a datagram.
 #[derive(Debug, Clone)]
 pub(crate) enum Envelope {
@@ -231,14 +248,14 @@
     };
     let loads = report.loads.iter().map(|load| Load {
         vm: load.vm.to_string(),
-        in_flight: load.in_flight,
-        unread_tokens: load.unread_tokens,
+        in_flight: load.in_flight.min(MAX_IN_FLIGHT),
+        unread_tokens: load.unread_tokens.min(MAX_UNREAD_TOKENS),
     });
     let demand = report.demand.iter().map(|(model, busy)| ModelDemand {
         model: model.to_string(),
-        busy_groups: busy.total,
-        reading_groups: busy.reading,
-        refused_groups: busy.refused,
+        busy_groups: busy.total.min(MAX_BUSY_GROUPS),
+        reading_groups: busy.reading.min(MAX_BUSY_GROUPS),
+        refused_groups: busy.refused.min(MAX_BUSY_GROUPS),
     });
     let lost = report.lost.iter().map(|lost| Lost {
         group: lost.group.to_string(),
@@ -320,7 +337,9 @@
         (Some(report), None, None, None) => {
             report_from(report).map(|message| Envelope::Report(Box::new(message)))
         }
-        (None, Some(Update { from, to, records }), None, None) if from <= to => {
+        (None, Some(Update { from, to, records }), None, None)
+            if from <= to && to <= MAX_OFFSET =>
+        {
             Some(Envelope::Update(ListUpdate { from, to, records }))
         }
         (None, None, Some(nodes), None) => {
@@ -334,6 +353,14 @@
     }
 }
 
+fn at_most<T: PartialOrd>(value: T, bound: T) -> Option<T> {
+    (value <= bound).then_some(value)
+}
+
+fn busy_groups(value: f64) -> Option<f64> {
+    (0.0..=MAX_BUSY_GROUPS).contains(&value).then_some(value)
+}
+
 fn sent_from(sent: SentTo) -> Option<SentRequest> {
     Some(SentRequest { vm: VmName::try_from(sent.vm).ok()?, prompt_tokens: sent.prompt_tokens })
 }
@@ -349,13 +376,15 @@
 fn report_from(report: Report) -> Option<ReportMessage> {
     let load = |load: Load| {
         let vm = VmName::try_from(load.vm).ok()?;
-        Some(PeerLoad { vm, in_flight: load.in_flight, unread_tokens: load.unread_tokens })
+        let in_flight = at_most(load.in_flight, MAX_IN_FLIGHT)?;
+        let unread_tokens = at_most(load.unread_tokens, MAX_UNREAD_TOKENS)?;
+        Some(PeerLoad { vm, in_flight, unread_tokens })
     };
     let demand = |demand: ModelDemand| {
         let busy = BusyGroups {
-            total: demand.busy_groups,
-            reading: demand.reading_groups,
-            refused: demand.refused_groups,
+            total: busy_groups(demand.busy_groups)?,
+            reading: busy_groups(demand.reading_groups)?,
+            refused: busy_groups(demand.refused_groups)?,
         };
         Some((ModelName::try_from(demand.model).ok()?, busy))
     };
@@ -368,7 +397,8 @@
         None => (Scope::Node, Vec::new()),
         Some(Summary { age_ms, node_count, nodes }) => {
             let nodes = nodes.iter().map(|node| node.parse().ok()).collect::<Option<Vec<_>>>()?;
-            (Scope::DataCentre { nodes: node_count, age_ms }, nodes)
+            let node_count = at_most(node_count, MAX_NODES)?;
+            (Scope::DataCentre { nodes: node_count, age_ms: at_most(age_ms, MAX_AGE_MS)? }, nodes)
         }
     };
     let known_node_count = report.known_node_count;
@@ -378,7 +408,7 @@
         scope,
         has_store: report.has_store,
         version: report.version,
-        lease_end: report.lease_end,
+        lease_end: at_most(report.lease_end, MAX_OFFSET)?,
         lease_released: report.lease_released,
         loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
@@ -414,6 +444,7 @@
 
 fn operators_from(operators: Operators) -> Option<OperatorsReport> {
     let Operators { position, evacuated, read_age_ms } = operators;
+    let position = at_most(position, MAX_OFFSET)?;
     let evacuated = evacuated.into_iter().map(|name| DataCentreName::try_from(name).ok());
     Some(OperatorsReport { position, evacuated: evacuated.collect::<Option<_>>()?, read_age_ms })
 }
