--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -29,6 +29,7 @@
 use slog::info;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::calls::EndpointCalls;
 use crate::clock::now_ms;
@@ -65,6 +66,8 @@
 /// The fleet state machine of a node, shared by all its requests.
 pub struct Hub {
     fleet: Mutex<Fleet>,
+    /// Whether the reducer has ended by a panic.
+    has_failed: watch::Sender<bool>,
     handles: Mutex<HashMap<AttemptId, AttemptHandle>>,
     next_attempt_id: AtomicU64,
     /// Sent requests, to be announced to other nodes.
@@ -155,6 +158,20 @@
     }
 }
 
+/// Records a panic of the reducer.
+struct FailureGuard<'a> {
+    has_failed: &'a watch::Sender<bool>,
+    is_done: bool,
+}
+
+impl Drop for FailureGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.has_failed.send_replace(true);
+        }
+    }
+}
+
 impl Hub {
     /// Creates the hub of a node; the receiver yields the requests that it sends.
     pub fn new(
@@ -166,6 +183,7 @@
         let (sent, receiver) = mpsc::channel(SENT_QUEUE_LEN);
         let hub = Self {
             fleet: Mutex::new(Fleet::new(settings)),
+            has_failed: watch::Sender::new(false),
             handles: Mutex::default(),
             next_attempt_id: AtomicU64::new(1),
             sent,
@@ -196,13 +214,23 @@
     pub fn apply(self: &Arc<Self>, event: Event) {
         let effects = {
             let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
-            reduce(&mut fleet, now_ms(), event)
+            let mut guard = FailureGuard { has_failed: &self.has_failed, is_done: false };
+            let effects = reduce(&mut fleet, now_ms(), event);
+            guard.is_done = true;
+            effects
         };
         for effect in effects {
             self.execute(effect);
         }
     }
 
+    /// Waits until the reducer ends by a panic. The state may be half changed then, and decisions on
+    /// it could break any guarantee, so the process must end.
+    pub async fn failed(&self) {
+        // The sender lives as long as the hub.
+        let _ = self.has_failed.subscribe().wait_for(|has_failed| *has_failed).await;
+    }
+
     /// Reads the state.
     pub fn read<R>(&self, query: impl FnOnce(&Fleet) -> R) -> R {
         query(&self.fleet.lock().unwrap_or_else(PoisonError::into_inner))
