Refuse what arrives late in a stop, and answer all before its end

Requests whose head or body arrived after the listener had closed were passed on, and cut at the end of the grace period if their endpoint took longer than its rest; so were requests that had waited for an endpoint. Their callers saw a closed connection, which promises nothing, although most of them had not run.

A request that waits for an endpoint is refused when under 2.5 s are left before the last answers, unless its deadline is earlier. Attempts that were turned away or not sent do not count as run; one that is connecting does. A started stream still ends without its last event and is logged as cut.

Tests on the code before: a_body_that_is_arriving_at_the_close (200 for 503) and the 5 cases of the_end_of_the_grace_period (idempotent, not, streams, 40 streams of which some wait: "no answer when the process ends") failed.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::answer::Body;
 use crate::answer::RequestFailure;
@@ -58,6 +59,13 @@
 /// `Retry-After` for the first request of a connection over the limit.
 const FULL_RETRY_MS: u64 = 200;
 
+/// Rest of the grace period below which a request that waits for an endpoint is refused: a busy
+/// endpoint needs up to this time for its first event, so a request sent later would be cut.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(2_500);
+
+/// A request that a stopping node does not pass on. Other nodes can serve it at once.
+const STOPPING: RequestFailure = RequestFailure::NotRun { retry_after_ms: 50 };
+
 /// Limits and timeouts of the request path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FrontOptions {
@@ -282,7 +290,19 @@
     let expects_continue = parts.headers.contains_key(header::EXPECT);
     let id = parts.headers.get(&shared.dialect.request_id).cloned();
     let open = shared.open.add(shared.hub.clone(), id.clone(), running.clone());
-    let parsed = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body).await;
+    let reading = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body);
+    let parsed = tokio::select! {
+        biased;
+        parsed = reading => parsed,
+        _ = shared.close_started() => Err(STOPPING),
+    };
+    // By then the load balancer has removed the node. What still arrives is refused at once, so that
+    // another node has its full time for it and the rest of the grace period is left to the
+    // answers that are under way.
+    let parsed = parsed.and_then(|request| match shared.is_closing() {
+        true => Err(STOPPING),
+        false => Ok(request),
+    });
     let mut response = match parsed {
         Ok(request) => {
             let request = Arc::new(request);
@@ -350,9 +370,18 @@
 }
 
 async fn answer_request(shared: &Arc<Shared>, request: Arc<Request>) -> Response<Body> {
-    let result = match request.route.kind {
-        RouteKind::Stream { .. } => stream::serve(shared, request.clone()).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => plain::serve(shared, &request).await,
+    let serving = async {
+        match request.route.kind {
+            RouteKind::Stream { .. } => stream::serve(shared, request.clone()).await,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                plain::serve(shared, &request).await
+            }
+        }
+    };
+    let result = tokio::select! {
+        biased;
+        result = serving => result,
+        failure = shared.give_up_in_stop(&request) => Err(failure),
     };
     match result {
         Ok(response) => {
@@ -368,6 +397,26 @@
 }
 
 impl Shared {
+    fn is_closing(&self) -> bool {
+        self.closing.borrow().is_some()
+    }
+
+    /// Waits until a stopping node can no longer hold a request without an answer; returns how it
+    /// ends.
+    async fn give_up_in_stop(&self, request: &Request) -> RequestFailure {
+        let answer_by = self.close_started().await;
+        sleep_until(answer_by.checked_sub(MIN_ANSWER_TIME).unwrap_or(answer_by)).await;
+        let rest_ms = answer_by.saturating_duration_since(Instant::now()).as_millis() as u64;
+        if !request.may_have_run() && request.left_ms() > rest_ms {
+            return STOPPING;
+        }
+        sleep_until(answer_by).await;
+        match request.may_have_run() {
+            true => RequestFailure::MayHaveRun,
+            false => STOPPING,
+        }
+    }
+
     /// Waits until connections are being closed; returns when every request must have an answer.
     pub async fn close_started(&self) -> Instant {
         let mut closing = self.closing.subscribe();
