Read on after the last answer of a connection before closing it

An answer with `Connection: close` was cut off if its caller had sent more bytes and a part of the answer was still in the node's socket: bytes that are unread when a socket is dropped, or arrive later, make the kernel reset the connection and discard what it has not delivered.

After the last answer the write side is shut down, then up to 256 KB are read and discarded for up to 1 s or until the caller closes. Connections that close because they are idle do not linger: a request that crosses the close must not be read, so that its caller may send it again. What can be saved of those is saved already, as the socket is read before an idle connection is closed.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -29,6 +29,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -47,6 +49,12 @@
 /// Time in which a head must arrive whole in a stop.
 const HEAD_TIMEOUT_AT_CLOSE: Duration = Duration::from_secs(1);
 
+/// Time for which bytes are discarded after the last answer of a connection.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Bytes that are discarded after the last answer of a connection.
+const LINGER_BYTES: usize = 256 * 1024;
+
 /// Time for the first request of a connection over the limit, and for its refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -68,6 +76,8 @@
     head_since: Option<Instant>,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
+    /// Whether the connection is closed because it is idle, rather than after an answer.
+    is_closed_idle: bool,
     /// Whether the node closes its connections, for which the limits are set.
     is_closing: bool,
 }
@@ -100,6 +110,7 @@
             idle_since,
             head_since: None,
             limits,
+            is_closed_idle: false,
             is_closing: false,
         };
         Self { state: Mutex::new(state), close_idle: Notify::new() }
@@ -188,6 +199,34 @@
 struct CallerSocket {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// The end of the connection, once its last answer was written.
+    linger: Option<Linger>,
+}
+
+/// What is read and discarded after the last answer.
+struct Linger {
+    timer: Pin<Box<Sleep>>,
+    left_bytes: usize,
+}
+
+impl Linger {
+    fn new() -> Self {
+        Self { timer: Box::pin(sleep(LINGER_TIME)), left_bytes: LINGER_BYTES }
+    }
+
+    /// Reads until the caller closes the connection or a limit is reached.
+    fn poll(&mut self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; 4096];
+        while self.timer.as_mut().poll(cx).is_pending() && self.left_bytes > 0 {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                break;
+            }
+            self.left_bytes = self.left_bytes.saturating_sub(buffer.filled().len());
+        }
+        Poll::Ready(())
+    }
 }
 
 impl AsyncRead for CallerSocket {
@@ -219,7 +258,21 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        let linger = match &mut this.linger {
+            Some(linger) => linger,
+            None => {
+                ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+                // A request that crosses the close of an idle connection must not count as read.
+                if this.activity.state().is_closed_idle {
+                    return Poll::Ready(Ok(()));
+                }
+                this.linger.insert(Linger::new())
+            }
+        };
+        // Bytes that are unread when a socket is dropped, or arrive later, reset the connection and
+        // discard the part of the answer that the caller has not received.
+        linger.poll(&mut this.stream, cx).map(Ok)
     }
 
     fn poll_write_vectored(
@@ -272,7 +325,7 @@
             }
         })
     };
-    let socket = CallerSocket { stream, activity: activity.clone() };
+    let socket = CallerSocket { stream, activity: activity.clone(), linger: None };
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes.max(HEAD_BUFFER_BYTES))
         .header_read_timeout(None)
@@ -299,6 +352,7 @@
                 && activity.idle_since().is_some()
             {
                 is_ending = true;
+                activity.state().is_closed_idle = true;
                 connection.as_mut().graceful_shutdown();
                 timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 continue;
@@ -314,6 +368,7 @@
                 Expiry::Keep(deadline) => timer.as_mut().reset(deadline),
                 Expiry::CloseIdle if !is_ending => {
                     is_ending = true;
+                    activity.state().is_closed_idle = true;
                     connection.as_mut().graceful_shutdown();
                     timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 }
