Let the tests of odd datagrams and failed states compile with probe answers

The stand-in calls of both tests now answer ProbeAnswer::Alive, which is what the flag meant; nothing they check has changed.

--- a/crates/relay/tests/failed_state.rs
+++ b/crates/relay/tests/failed_state.rs
@@ -9,6 +9,7 @@
 use balsam_fleet::FleetSettings;
 use balsam_fleet::event::LeaseEvent;
 use balsam_fleet::event::OrderAnswer;
+use balsam_fleet::event::ProbeAnswer;
 use balsam_relay::EndpointCalls;
 use balsam_relay::Hub;
 use balsam_relay::RelayMetrics;
@@ -26,7 +27,7 @@
         operators_max_age_ms: 4_000,
     };
     let calls = EndpointCalls {
-        probe: Arc::new(|_| Box::pin(async { true })),
+        probe: Arc::new(|_| Box::pin(async { ProbeAnswer::Alive })),
         order: Arc::new(|_, _| Box::pin(async { OrderAnswer::Accepted })),
     };
     let metrics = RelayMetrics::new(&opentelemetry::global::meter("test"));
--- a/crates/relay/tests/odd_datagrams.rs
+++ b/crates/relay/tests/odd_datagrams.rs
@@ -8,6 +8,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::FleetSettings;
 use balsam_fleet::event::OrderAnswer;
+use balsam_fleet::event::ProbeAnswer;
 use balsam_relay::EndpointCalls;
 use balsam_relay::Gossip;
 use balsam_relay::GossipOptions;
@@ -132,7 +133,7 @@
             operators_max_age_ms: 4_000,
         };
         let calls = EndpointCalls {
-            probe: Arc::new(|_| Box::pin(async { true })),
+            probe: Arc::new(|_| Box::pin(async { ProbeAnswer::Alive })),
             order: Arc::new(|_, _| Box::pin(async { OrderAnswer::Accepted })),
         };
         let metrics = RelayMetrics::new(&opentelemetry::global::meter("test"));
