Keep new and running connections when the idle time is very short

A connection without a first request now has the longer of the two again, and one with a running request has no deadline; its limits are looked at every 5 s.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -31,7 +31,6 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::front::Shared;
@@ -42,6 +41,9 @@
 /// size.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
+/// How often the limits of a connection are checked while a request runs on it.
+const RUNNING_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time without a byte after which a connection without a request closes in a stop; one that was
 /// just opened is about to bring its first request.
 const IDLE_TIMEOUT_AT_CLOSE: Duration = Duration::from_millis(250);
@@ -70,6 +72,7 @@
 
 struct ActivityState {
     running_requests: u32,
+    had_request: bool,
     /// When the last request ended, or the connection began.
     idle_since: Instant,
     /// When the first bytes of a head arrived that is not complete.
@@ -83,13 +86,16 @@
 }
 
 impl ActivityState {
-    /// Returns when the connection is to be closed if nothing more happens.
-    fn deadline(&self) -> Instant {
+    /// Returns when the connection is to be closed if nothing more happens; `None` if a request
+    /// runs.
+    fn deadline(&self) -> Option<Instant> {
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
+        let head_timeout = Duration::from_millis(self.limits.header_timeout_ms);
         match self.head_since {
-            _ if self.running_requests > 0 => Instant::now() + idle_timeout,
-            Some(since) => since + Duration::from_millis(self.limits.header_timeout_ms),
-            None => self.idle_since + idle_timeout,
+            _ if self.running_requests > 0 => None,
+            Some(since) => Some(since + head_timeout),
+            None if self.had_request || self.is_closing => Some(self.idle_since + idle_timeout),
+            None => Some(self.idle_since + idle_timeout.max(head_timeout)),
         }
     }
 }
@@ -107,6 +113,7 @@
         let idle_since = Instant::now();
         let state = ActivityState {
             running_requests: 0,
+            had_request: false,
             idle_since,
             head_since: None,
             limits,
@@ -157,9 +164,10 @@
             limits.idle_timeout_ms = limits.idle_timeout_ms.max(in_force.idle_timeout_ms);
             limits.header_timeout_ms = limits.header_timeout_ms.max(in_force.header_timeout_ms);
         }
-        let deadline = state.deadline();
+        let now = Instant::now();
+        let deadline = state.deadline().unwrap_or(now + RUNNING_CHECK_INTERVAL);
         match state.head_since {
-            _ if deadline > Instant::now() => Expiry::Keep(deadline),
+            _ if deadline > now => Expiry::Keep(deadline),
             Some(_) => Expiry::Drop,
             None => Expiry::CloseIdle,
         }
@@ -177,6 +185,7 @@
         {
             let mut state = activity.state();
             state.running_requests += 1;
+            state.had_request = true;
             state.head_since = None;
         }
         Self { shared, activity }
@@ -332,7 +341,7 @@
         .serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
     let mut close = pin!(shared.close_started());
-    let mut timer = pin!(sleep_until(activity.state().deadline()));
+    let mut timer = pin!(sleep(RUNNING_CHECK_INTERVAL));
     let mut close_idle = pin!(activity.close_idle.notified().fuse());
     let mut is_closing = false;
     let mut is_ending = false;
@@ -357,11 +366,11 @@
                 timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 continue;
             }
-            if !is_ending {
-                let deadline = activity.state().deadline();
-                if deadline < timer.deadline() {
-                    timer.as_mut().reset(deadline);
-                }
+            if !is_ending
+                && let Some(deadline) = activity.state().deadline()
+                && deadline < timer.deadline()
+            {
+                timer.as_mut().reset(deadline);
             }
             ready!(timer.as_mut().poll(cx));
             match activity.expiry(shared.limits()) {
