Keep evacuations in force when the store comes back from a copy

Cause: the position in the operators' topic was an offset. A record at a reused offset was dropped as old, a node that had read the copy was overruled by the reports of one that had not, and what a copy lacks would have been taken for revoked. A position is now an era and an offset, compared in that order, in the view, its updates and the reports between nodes. On a new era an evacuation that a node knew stays in force until a record of that era names the data centre, or for 10 s (RETENTION_MS, twice the bound of an evacuation) if the operators never write it again; one that the copy shows stays until a record takes it back. Reports carry the retained evacuations and the age of the era, so that nodes which start meanwhile learn of them and end them with the others. The version keeps configurations from going back, as before. A restore is logged once (store_restored), with both positions and what is retained; balsamturn.fleet.store_era shows the era. Ruled out: retaining without a bound (a take-back that was lost and only seen in a whole read would keep the data centre out forever), and one age for each evacuation (the era has the same age at all nodes). Not done: a node that starts just after a restore takes requests on the configuration of the copy until the operators write theirs again.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -18,6 +18,7 @@
 use crate::lease::LastHolder;
 use crate::operators::OperatorsReport;
 use crate::operators::OperatorsUpdate;
+use crate::position::StorePosition;
 use crate::quarantine::Blamed;
 use crate::quarantine::QuarantineReport;
 use crate::quarantine::SegmentEvidence;
@@ -488,6 +489,17 @@
         /// The node that reported it; `None` if this node read it itself.
         told_by: Option<Arc<str>>,
     },
+    /// The store came back from a copy, in which the last changes of the operators may be missing.
+    StoreRestored {
+        /// The last known position before.
+        before: StorePosition,
+        /// The first known position after.
+        position: StorePosition,
+        /// Data centres that stay evacuated although the copy does not show it.
+        retained: Vec<DataCentreName>,
+        /// The node that reported it; `None` if this node read it itself.
+        told_by: Option<Arc<str>>,
+    },
     /// The list of endpoints was read again after an outage.
     ListReturned {
         /// Duration of the outage.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod directory;
 pub mod endpoint;
+mod evacuations;
 pub mod event;
 pub mod formation;
 pub mod lease;
--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -4,11 +4,21 @@
 //! topic from a read that never gets its answer. It therefore records when it last had confirmation
 //! that nothing followed, takes over what other nodes know, and reads again before its knowledge is
 //! too old. See `docs/incidents/evac-9c7c.md`.
+//!
+//! The store may come back from a copy that lacks the last changes until the operators write them
+//! again. What the copy lacks is therefore not taken for revoked; see [`RETENTION_MS`].
 
 use std::collections::BTreeSet;
 
 use balsam_types::DataCentreName;
 
+use crate::position::StorePosition;
+
+/// How long an evacuation stays in force that was known before the store came back from a copy and
+/// that no record confirms or revokes since: operators write again what the copy lacks, at the
+/// latest when they find it missing. Twice the time within which an evacuation must be in force.
+pub const RETENTION_MS: u64 = 10_000;
+
 /// Number of nodes per data centre that watch the operators' topic for the others.
 pub const WATCHERS_PER_DATA_CENTRE: usize = 2;
 
@@ -30,26 +40,26 @@
 /// Result of a read of the operators' topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorsUpdate {
-    /// All evacuated data centres as of an offset of the topic.
+    /// All evacuated data centres as of a position in the topic.
     Whole {
-        /// The offset after the last record included in the answer.
-        end: u64,
+        /// The position after the last record included in the answer.
+        end: StorePosition,
         /// The evacuated data centres.
         evacuated: BTreeSet<DataCentreName>,
     },
     /// A record that evacuates a data centre or returns it to service.
     Record {
-        /// The offset of the record.
-        offset: u64,
+        /// The position of the record.
+        position: StorePosition,
         /// The data centre.
         data_centre: DataCentreName,
         /// Whether it is evacuated.
         is_out: bool,
     },
-    /// Confirmation that no record follows this offset.
+    /// Confirmation that no record follows this position.
     Confirmed {
-        /// The offset after the last record of the topic.
-        end: u64,
+        /// The position after the last record of the topic.
+        end: StorePosition,
         /// The time as of which no record followed.
         as_of_ms: u64,
     },
@@ -67,10 +77,14 @@
 /// What a node reports to others about the operators' topic.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OperatorsReport {
-    /// The offset after the last record that the node knows.
-    pub position: u64,
-    /// The evacuated data centres.
+    /// The position after the last record that the node knows.
+    pub position: StorePosition,
+    /// The evacuated data centres, without the retained ones.
     pub evacuated: BTreeSet<DataCentreName>,
+    /// Data centres whose evacuation stays in force although the store came back without it.
+    pub retained: BTreeSet<DataCentreName>,
+    /// How long ago the era of the position was first seen.
+    pub era_age_ms: u64,
     /// How long ago one of the node's own reads confirmed that no record followed.
     ///
     /// Confirmations received from other nodes do not count: nodes that passed them on to each
@@ -112,11 +126,20 @@
 /// What a node knows of the operators' topic.
 #[derive(Debug, Clone, Default)]
 pub struct OperatorsView {
-    position: u64,
+    position: StorePosition,
+    /// When a node first saw the era of the position.
+    era_seen_ms: u64,
     /// When a read of this node last confirmed that no record followed.
     read_ms: Option<u64>,
     /// When a read of any node last confirmed it.
     confirmed_ms: Option<u64>,
+    /// The evacuated data centres as of the position.
+    listed: BTreeSet<DataCentreName>,
+    /// Evacuations from before the era that no record of it confirmed or revoked yet.
+    retained: BTreeSet<DataCentreName>,
+    /// Data centres that a record of the era named.
+    settled: BTreeSet<DataCentreName>,
+    /// The listed and the retained ones.
     evacuated: BTreeSet<DataCentreName>,
 }
 
@@ -126,12 +149,17 @@
         &self.evacuated
     }
 
-    /// Returns the offset after the last known record.
-    pub fn position(&self) -> u64 {
+    /// Returns the data centres that stay evacuated although the store came back without it.
+    pub(crate) fn retained(&self) -> &BTreeSet<DataCentreName> {
+        &self.retained
+    }
+
+    /// Returns the position after the last known record.
+    pub fn position(&self) -> StorePosition {
         self.position
     }
 
-    /// Returns the time since the last confirmation that no record follows the offset; `None`
+    /// Returns the time since the last confirmation that no record follows the position; `None`
     /// before the first.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
@@ -139,30 +167,34 @@
 
     /// Applies the result of a read; returns the resulting changes.
     ///
-    /// Records before the known offset were applied already and must not undo later ones.
-    pub(crate) fn apply(&mut self, update: OperatorsUpdate) -> Vec<Evacuation> {
+    /// Records before the known position were applied already and must not undo later ones.
+    pub(crate) fn apply(&mut self, now_ms: u64, update: OperatorsUpdate) -> Vec<Evacuation> {
         match update {
-            OperatorsUpdate::Whole { end, evacuated } => self.replace(end, evacuated),
-            OperatorsUpdate::Record { offset, data_centre, is_out } => {
-                if offset < self.position {
-                    return Vec::new();
+            OperatorsUpdate::Whole { end, evacuated } => self.replace(now_ms, end, evacuated),
+            OperatorsUpdate::Record { position, data_centre, is_out } => {
+                self.enter_era(now_ms, position.era);
+                if position.era == self.position.era {
+                    self.retained.remove(&data_centre);
+                    self.settled.insert(data_centre.clone());
+                }
+                if position >= self.position {
+                    self.position = position.after(1);
+                    match is_out {
+                        true => self.listed.insert(data_centre),
+                        false => self.listed.remove(&data_centre),
+                    };
                 }
-                self.position = offset + 1;
-                let is_change = match is_out {
-                    true => self.evacuated.insert(data_centre.clone()),
-                    false => self.evacuated.remove(&data_centre),
-                };
-                is_change.then_some(Evacuation { data_centre, is_out }).into_iter().collect()
             }
             OperatorsUpdate::Confirmed { end, as_of_ms } => {
+                self.enter_era(now_ms, end.era);
                 if end >= self.position {
                     self.position = end;
                     self.read_ms = self.read_ms.max(Some(as_of_ms));
                     self.confirmed_ms = self.confirmed_ms.max(Some(as_of_ms));
                 }
-                Vec::new()
             }
         }
+        self.take_changes()
     }
 
     /// Applies the report of another node; returns the resulting changes.
@@ -175,34 +207,70 @@
         report: &OperatorsReport,
         is_direct: bool,
     ) -> Vec<Evacuation> {
-        let is_newer = report.position > self.position;
-        let changes = match is_newer {
-            true => self.replace(report.position, report.evacuated.clone()),
-            false => Vec::new(),
-        };
+        if report.position > self.position {
+            self.replace(now_ms, report.position, report.evacuated.clone());
+        }
+        if report.position.era == self.position.era {
+            self.era_seen_ms = self.era_seen_ms.min(now_ms.saturating_sub(report.era_age_ms));
+            if now_ms < self.era_seen_ms + RETENTION_MS {
+                let unsettled = report.retained.difference(&self.settled);
+                self.retained
+                    .extend(unsettled.filter(|name| !self.listed.contains(*name)).cloned());
+            }
+        }
         if report.position == self.position
             && is_direct
             && let Some(age_ms) = report.read_age_ms
         {
             self.confirmed_ms = self.confirmed_ms.max(Some(now_ms.saturating_sub(age_ms)));
         }
-        changes
+        self.take_changes()
+    }
+
+    /// Ends evacuations that were retained for [`RETENTION_MS`]; returns the resulting changes.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<Evacuation> {
+        if self.retained.is_empty() || now_ms < self.era_seen_ms + RETENTION_MS {
+            return Vec::new();
+        }
+        self.retained.clear();
+        self.take_changes()
     }
 
     /// Returns the report for other nodes.
     pub(crate) fn report(&self, now_ms: u64) -> OperatorsReport {
         OperatorsReport {
             position: self.position,
-            evacuated: self.evacuated.clone(),
+            evacuated: self.listed.clone(),
+            retained: self.retained.clone(),
+            era_age_ms: now_ms.saturating_sub(self.era_seen_ms),
             read_age_ms: self.read_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
         }
     }
 
-    fn replace(&mut self, end: u64, evacuated: BTreeSet<DataCentreName>) -> Vec<Evacuation> {
-        if end < self.position {
-            return Vec::new();
+    fn replace(&mut self, now_ms: u64, end: StorePosition, listed: BTreeSet<DataCentreName>) {
+        self.enter_era(now_ms, end.era);
+        if end >= self.position {
+            self.position = end;
+            self.retained.retain(|name| !listed.contains(name));
+            self.listed = listed;
         }
-        self.position = end;
+    }
+
+    /// Retains the evacuations in force if an era is later than the known one.
+    fn enter_era(&mut self, now_ms: u64, era: u64) {
+        if era > self.position.era {
+            self.position = StorePosition { era, offset: 0 };
+            self.era_seen_ms = now_ms;
+            // A read of the era before says nothing about the records of this one.
+            self.read_ms = None;
+            self.retained = self.evacuated.clone();
+            self.listed.clear();
+            self.settled.clear();
+        }
+    }
+
+    fn take_changes(&mut self) -> Vec<Evacuation> {
+        let evacuated = self.listed.union(&self.retained).cloned().collect();
         let before = std::mem::replace(&mut self.evacuated, evacuated);
         let change = |data_centre: &DataCentreName| Evacuation {
             data_centre: data_centre.clone(),
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -16,6 +16,7 @@
 use crate::directory::LIST_OUTAGE_MS;
 use crate::directory::ListChange;
 use crate::endpoint::Endpoint;
+use crate::evacuations;
 use crate::event::Arrival;
 use crate::event::AttemptId;
 use crate::event::AttemptOutcome;
@@ -31,8 +32,6 @@
 use crate::event::Scope;
 use crate::event::Target;
 use crate::losses;
-use crate::operators::Evacuation;
-use crate::operators::OperatorsUpdate;
 use crate::planner::View;
 use crate::servability;
 use crate::serving::RequestKind;
@@ -52,7 +51,7 @@
             apply_configuration(fleet, configuration, &mut effects)
         }
         Event::List(change) => apply_list_change(fleet, now_ms, change, &mut effects),
-        Event::Operators(update) => apply_operators_update(fleet, now_ms, update, &mut effects),
+        Event::Operators(update) => evacuations::apply_update(fleet, now_ms, update, &mut effects),
         Event::Arrive(arrival) => arrive(fleet, now_ms, arrival, &mut effects),
         Event::Started(attempt_id) => {
             if let Some(vm) = fleet.loads.started(attempt_id) {
@@ -153,28 +152,6 @@
     fleet.configuration = Some(configuration);
 }
 
-fn apply_operators_update(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    update: OperatorsUpdate,
-    effects: &mut Vec<Effect>,
-) {
-    let unconfirmed_ms = fleet.operators.age_ms(now_ms);
-    let changes = fleet.operators.apply(update);
-    effects.extend(evacuation_decisions(changes, unconfirmed_ms, None));
-}
-
-fn evacuation_decisions(
-    changes: Vec<Evacuation>,
-    unconfirmed_ms: Option<u64>,
-    told_by: Option<&Arc<str>>,
-) -> impl Iterator<Item = Effect> {
-    changes.into_iter().map(move |Evacuation { data_centre, is_out }| {
-        let told_by = told_by.cloned();
-        Effect::LogDecision(Decision::Evacuation { data_centre, is_out, unconfirmed_ms, told_by })
-    })
-}
-
 fn apply_list_change(
     fleet: &mut Fleet,
     now_ms: u64,
@@ -472,10 +449,7 @@
     effects: &mut Vec<Effect>,
 ) {
     fleet.lease.apply_report(now_ms, report.lease_end, report.lease_released);
-    let unconfirmed_ms = fleet.operators.age_ms(now_ms);
-    let is_direct = report.scope == Scope::Node;
-    let changes = fleet.operators.apply_report(now_ms, &report.operators, is_direct);
-    effects.extend(evacuation_decisions(changes, unconfirmed_ms, Some(&report.node)));
+    evacuations::apply_report(fleet, now_ms, &report, effects);
     fleet.quarantine.apply_report(now_ms, &report.quarantine);
     for lost in &report.lost {
         losses::apply_lost_report(fleet, now_ms, &report.node, lost, effects);
@@ -514,6 +488,7 @@
 fn tick(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let removed = fleet.directory.expire(now_ms);
     remove_endpoints(fleet, now_ms, removed, "not listed again after an outage", effects);
+    evacuations::expire(fleet, now_ms, effects);
     update_leadership(fleet, now_ms, effects);
     refill_cold_allowances(fleet, now_ms);
     fleet.pauses.expire(now_ms);
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -6,6 +6,7 @@
 use balsam_fleet::Endpoint;
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
+use balsam_fleet::StorePosition;
 use balsam_fleet::demand::BusyGroups;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::AttemptOutcome;
@@ -134,8 +135,9 @@
 fn an_evacuated_data_centre_gets_no_requests() {
     let mut fleet = fleet(vec![support::head("one", 1)]);
     let out = |offset, is_out| {
+        let position = StorePosition { era: 0, offset };
         let data_centre = support::data_centre("a");
-        Event::Operators(OperatorsUpdate::Record { offset, data_centre, is_out })
+        Event::Operators(OperatorsUpdate::Record { position, data_centre, is_out })
     };
     reduce(&mut fleet, 1_000, out(7, true));
     let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(1, 1_010)));
--- a/crates/fleet/tests/fleet/waiting.rs
+++ b/crates/fleet/tests/fleet/waiting.rs
@@ -3,6 +3,7 @@
 use balsam_fleet::Effect;
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
+use balsam_fleet::StorePosition;
 use balsam_fleet::configuration::Route;
 use balsam_fleet::configuration::RouteKind;
 use balsam_fleet::directory::ListChange;
@@ -243,7 +244,8 @@
         assert_eq!(refused(&reduce(&mut fleet, 1_010, Event::Arrive(request)), attempt_id), None);
     }
     let data_centre = support::data_centre("a");
-    let out = OperatorsUpdate::Record { offset: 1, data_centre, is_out: true };
+    let position = StorePosition { era: 0, offset: 1 };
+    let out = OperatorsUpdate::Record { position, data_centre, is_out: true };
     reduce(&mut fleet, 1_020, Event::Operators(out));
     let effects = reduce(&mut fleet, 1_030, Event::Tick);
     assert!(
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -86,6 +86,13 @@
                 "is_out" => is_out, "unconfirmed_ms" => unconfirmed_ms,
                 "told_by" => told_by.as_deref(), "dropped_lines" => dropped);
         }
+        Decision::StoreRestored { before, position, retained, told_by } => {
+            info!(log, "the store came back from a copy"; "kind" => kind,
+                "era_before" => before.era, "offset_before" => before.offset,
+                "era" => position.era, "offset" => position.offset,
+                "retained_evacuations" => ?retained, "told_by" => told_by.as_deref(),
+                "dropped_lines" => dropped);
+        }
         Decision::ListReturned { away_ms } => {
             info!(log, "list of endpoints can be read again"; "kind" => kind, "away_ms" => away_ms,
                 "dropped_lines" => dropped);
@@ -145,6 +152,7 @@
         Decision::GroupDissolving { .. } => "group_dissolving",
         Decision::Configuration { .. } => "configuration",
         Decision::Evacuation { .. } => "evacuation",
+        Decision::StoreRestored { .. } => "store_restored",
         Decision::ListReturned { .. } => "list_returned",
         Decision::EndpointGone { .. } => "endpoint_gone",
         Decision::EndpointLeaving { .. } => "endpoint_leaves",
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -23,6 +23,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 use crate::hub::Hub;
@@ -179,6 +180,8 @@
     /// The newest configuration version reported by another node.
     newest_peer_version: AtomicU64,
     newer_version_reported: Notify,
+    /// The latest era of the store reported by another node.
+    latest_peer_era: watch::Sender<u64>,
 }
 
 impl Gossip {
@@ -198,6 +201,7 @@
             updates,
             newest_peer_version: AtomicU64::new(0),
             newer_version_reported: Notify::new(),
+            latest_peer_era: watch::Sender::new(0),
         };
         (Arc::new(gossip), receiver)
     }
@@ -240,6 +244,17 @@
         }
     }
 
+    /// Waits until another node reported a later era of the store than this one; returns it.
+    pub async fn later_era_reported(&self, than: u64) -> u64 {
+        let mut era = self.latest_peer_era.subscribe();
+        let later = era.wait_for(|era| *era > than).await.map(|era| *era);
+        match later {
+            Ok(era) => era,
+            // The sender cannot be dropped meanwhile.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Whether another node's report was received since the start.
     pub fn has_heard_peers(&self) -> bool {
         self.peers().values().any(|peer| peer.data_centre.is_some())
@@ -451,6 +466,12 @@
         if self.has_newer_peer_version() {
             self.newer_version_reported.notify_one();
         }
+        let era = report.operators.position.era;
+        self.latest_peer_era.send_if_modified(|latest| {
+            let is_later = era > *latest;
+            *latest = era.max(*latest);
+            is_later
+        });
         let is_node_report = report.scope == Scope::Node;
         self.hub.apply(Event::Peer(report));
         if is_node_report && let Some(nodes) = self.node_list_for(from, known_node_count) {
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -185,9 +185,12 @@
             ticks.tick().await;
             self.apply(Event::Tick);
             if tick.is_multiple_of(TICKS_PER_GAUGE_UPDATE)
-                && let Some(age_ms) = self.read(|fleet| fleet.operators.age_ms(now_ms()))
+                && let (Some(age_ms), era) = self.read(|fleet| {
+                    (fleet.operators.age_ms(now_ms()), fleet.operators.position().era)
+                })
             {
                 self.metrics.operators_age(age_ms);
+                self.metrics.store_era(era);
             }
         }
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,8 +1,10 @@
 //! Encodes and decodes the messages between nodes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use balsam_fleet::StorePosition;
 use balsam_fleet::demand::BusyGroups;
 use balsam_fleet::event::LostGroup;
 use balsam_fleet::event::PeerLoad;
@@ -160,11 +162,17 @@
 #[derive(Clone, PartialEq, Message)]
 struct Operators {
     #[prost(uint64, tag = "1")]
-    position: u64,
+    offset: u64,
     #[prost(string, repeated, tag = "2")]
     evacuated: Vec<String>,
     #[prost(uint64, optional, tag = "3")]
     read_age_ms: Option<u64>,
+    #[prost(uint64, tag = "4")]
+    era: u64,
+    #[prost(string, repeated, tag = "5")]
+    retained: Vec<String>,
+    #[prost(uint64, tag = "6")]
+    era_age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -265,10 +273,16 @@
 }
 
 fn encode_operators(report: &OperatorsReport) -> Operators {
+    let names = |data_centres: &BTreeSet<DataCentreName>| {
+        data_centres.iter().map(ToString::to_string).collect()
+    };
     Operators {
-        position: report.position,
-        evacuated: report.evacuated.iter().map(ToString::to_string).collect(),
+        offset: report.position.offset,
+        evacuated: names(&report.evacuated),
         read_age_ms: report.read_age_ms,
+        era: report.position.era,
+        retained: names(&report.retained),
+        era_age_ms: report.era_age_ms,
     }
 }
 
@@ -413,7 +427,15 @@
 }
 
 fn operators_from(operators: Operators) -> Option<OperatorsReport> {
-    let Operators { position, evacuated, read_age_ms } = operators;
-    let evacuated = evacuated.into_iter().map(|name| DataCentreName::try_from(name).ok());
-    Some(OperatorsReport { position, evacuated: evacuated.collect::<Option<_>>()?, read_age_ms })
+    let Operators { offset, evacuated, read_age_ms, era, retained, era_age_ms } = operators;
+    let names = |names: Vec<String>| {
+        names.into_iter().map(|name| DataCentreName::try_from(name).ok()).collect::<Option<_>>()
+    };
+    Some(OperatorsReport {
+        position: StorePosition { era, offset },
+        evacuated: names(evacuated)?,
+        retained: names(retained)?,
+        era_age_ms,
+        read_age_ms,
+    })
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -19,6 +19,7 @@
     wait_ms: Histogram<f64>,
     idle_endpoint_ms: Counter<u64>,
     operators_age_ms: Gauge<u64>,
+    store_era: Gauge<u64>,
 }
 
 /// Histogram bucket bounds in ms: the latency targets of the routes lie between 150 and 500.
@@ -40,6 +41,7 @@
             wait_ms: histogram("balsamturn.relay.wait_ms"),
             idle_endpoint_ms: meter.u64_counter("balsamturn.fleet.idle_endpoint_ms").build(),
             operators_age_ms: meter.u64_gauge("balsamturn.fleet.operators_age_ms").build(),
+            store_era: meter.u64_gauge("balsamturn.fleet.store_era").build(),
         }
     }
 
@@ -72,6 +74,10 @@
         self.operators_age_ms.record(ms, &[]);
     }
 
+    pub(crate) fn store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     pub(crate) fn first_event(&self, ms: u64) {
         self.first_event_ms.record(ms as f64, &[]);
     }
