Keep the planner lease through a store that comes back from a copy

After a restore no node planned: the nodes told each other of the end of the records from before, each went on from that offset, and every call was refused. Two nodes could also hold the lease together, and fencing numbers fell behind used ones, since they are offsets, which are given out again. The records are now a chain within one era. On a later era, also one that another node reports, the records are read anew. The holder keeps its lease until its end and may renew it there if nobody has appended a record in that era; nobody else takes it before a term from before must have ended. A record is believed only if its writer knew the era: a release or an own record in a copy, and a delayed call that meets a reused offset, count as those of another node. A record whose condition was about another era gives no lease (calls under way across the change). The generation holds the era above 26 bits of offset; epochs stay below 2^53 up to era 2047. Not covered: a node that starts within the term of a holder whose records are all lost, and that hears no other node, takes an empty chain for one that never had a record.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -97,8 +97,8 @@
 pub enum LeaseEvent {
     /// The records were read.
     Read {
-        /// The offset after the last record.
-        end: u64,
+        /// The position after the last record.
+        end: StorePosition,
         /// Who appended the last record.
         last: LastHolder,
     },
@@ -106,13 +106,15 @@
     Appended {
         /// When the call was sent.
         sent_ms: u64,
-        /// The offset of the record.
-        offset: u64,
+        /// The position that was the condition.
+        at: StorePosition,
+        /// The era of the answer.
+        era: u64,
     },
     /// Another node's record was appended first.
     Refused {
-        /// The offset after the last record.
-        end: u64,
+        /// The position after the last record.
+        end: StorePosition,
     },
     /// The call was not answered.
     Unanswered,
@@ -262,8 +264,8 @@
     pub has_store: bool,
     /// The version of the configuration in force; zero before the first.
     pub version: u64,
-    /// The offset after the last known record of the planner lease.
-    pub lease_end: u64,
+    /// The position after the last known record of the planner lease.
+    pub lease_end: StorePosition,
     /// Whether that record releases the lease.
     pub lease_released: bool,
     /// Load of the node's own requests by endpoint.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -5,6 +5,12 @@
 //! node may take it once it has seen no new record for that long. When planning followed the
 //! membership of a group instead, it moved with every node that joined or left, and each change
 //! cost a second of planning.
+//!
+//! The store that keeps the records may come back from a copy and begin a new era without the last
+//! ones. A holder then keeps its lease until its end and must renew it in the new era; nobody else
+//! takes it before that end. See `docs/incidents/restored-store.md`.
+
+use crate::position::StorePosition;
 
 /// The next action.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,8 +19,8 @@
     Nothing,
     /// Read where the records end and who appended the last one.
     Read,
-    /// Append a record on condition that the records end at this offset.
-    Append(u64),
+    /// Append a record on condition that the records end at this position.
+    Append(StorePosition),
 }
 
 /// Who appended the last record.
@@ -24,8 +30,13 @@
     Own,
     /// Another node, or an earlier run of this one.
     Other,
-    /// Nobody, or a holder that released the lease.
+    /// A holder that released the lease.
     Released,
+    /// A node that did so in an earlier era of the store, as in a copy. The records that followed
+    /// may be missing.
+    EarlierEra,
+    /// Nobody: there is no record.
+    Nobody,
 }
 
 /// A node's view of the chain of records.
@@ -33,7 +44,11 @@
 pub struct Lease {
     ttl_ms: u64,
     renew_ms: u64,
-    /// The offset after the last known record; `None` before the first read.
+    /// The latest known era of the store; `None` before the first read.
+    era: Option<u64>,
+    /// A lease from before the era may last until this time.
+    free_from_ms: u64,
+    /// The offset after the last record of the era; `None` if it must be read.
     end: Option<u64>,
     /// When this node first saw the last record.
     seen_ms: u64,
@@ -46,12 +61,30 @@
 /// How long before the end of the lease its holder stops using it.
 const HANDOVER_MARGIN_MS: u64 = 200;
 
+/// Number of bits of a generation that hold the offset; at one record in 0.6 s they last for 460
+/// days.
+const OFFSET_BITS: u32 = 26;
+
+/// Largest era that generations distinguish. Together with the bits that count the groups of one
+/// generation, epochs stay below 2^53, which every JSON number holds exactly.
+const MAX_GENERATION_ERA: u64 = (1 << 11) - 1;
+
+/// Returns the generation of a term that begins with the record at this position. It fences the
+/// orders of earlier terms, so it is higher in a later era although the offset may be lower.
+fn generation(first: StorePosition) -> u64 {
+    (first.era.min(MAX_GENERATION_ERA) << OFFSET_BITS)
+        .saturating_add(first.offset)
+        .saturating_add(1)
+}
+
 impl Lease {
     /// Creates the initial view of a node; the lease lasts for `ttl_ms`.
     pub fn new(ttl_ms: u64, renew_ms: u64) -> Self {
         Self {
             ttl_ms,
             renew_ms,
+            era: None,
+            free_from_ms: 0,
             end: None,
             seen_ms: 0,
             term: None,
@@ -65,48 +98,63 @@
         self.term.filter(|(_, until_ms)| now_ms < *until_ms)
     }
 
-    /// Returns the offset after the last known record, for other nodes.
-    pub fn end(&self) -> u64 {
-        self.end.unwrap_or(0)
+    /// Returns the position after the last known record, for other nodes.
+    pub fn end(&self) -> StorePosition {
+        StorePosition { era: self.era.unwrap_or(0), offset: self.end.unwrap_or(0) }
     }
 
-    /// Records that another node knows records up to this offset.
-    pub fn apply_report(&mut self, now_ms: u64, end: u64, is_released: bool) {
-        if self.end.is_some_and(|known| end > known) {
-            self.advance(now_ms, end);
+    /// Records that another node knows records up to this position.
+    pub fn apply_report(&mut self, now_ms: u64, end: StorePosition, is_released: bool) {
+        // A node that has not read yet must not take the lease without reading.
+        if self.era.is_none() || self.enter_era(now_ms, end.era) {
+            return;
+        }
+        if self.era == Some(end.era) && self.end.is_some_and(|known| end.offset > known) {
+            self.advance(now_ms, end.offset);
             self.is_released = is_released;
         }
     }
 
     /// Returns the next action.
     pub fn step(&self, now_ms: u64) -> Step {
-        let Some(end) = self.end else { return Step::Read };
+        let (Some(era), Some(offset)) = (self.era, self.end) else { return Step::Read };
+        let append = Step::Append(StorePosition { era, offset });
         if self.held(now_ms).is_some() {
             return match now_ms >= self.next_renewal_ms {
-                true => Step::Append(end),
+                true => append,
                 false => Step::Nothing,
             };
         }
-        let is_free = self.is_released || now_ms >= self.seen_ms + self.ttl_ms;
-        match is_free {
-            true => Step::Append(end),
+        let is_expired = self.is_released || now_ms >= self.seen_ms + self.ttl_ms;
+        match is_expired && now_ms >= self.free_from_ms {
+            true => append,
             false => Step::Nothing,
         }
     }
 
     /// Records the end of the records as found by a read.
-    pub fn read(&mut self, now_ms: u64, end: u64, last: LastHolder) {
-        if last == LastHolder::Own && self.held(now_ms).is_some() {
+    pub fn read(&mut self, now_ms: u64, end: StorePosition, last: LastHolder) {
+        self.enter_era(now_ms, end.era);
+        if self.era != Some(end.era) {
+            return;
+        }
+        let may_continue = match last {
             // The record may be of a renewal that was not answered; it does not extend the lease.
-            self.end = Some(end);
+            LastHolder::Own => true,
+            // No node has taken the lease in this era.
+            LastHolder::EarlierEra | LastHolder::Nobody => true,
+            LastHolder::Other | LastHolder::Released => false,
+        };
+        if may_continue && self.held(now_ms).is_some() {
+            self.end = Some(end.offset);
             self.seen_ms = now_ms;
             self.next_renewal_ms = now_ms;
             return;
         }
-        self.advance(now_ms, end);
+        self.advance(now_ms, end.offset);
         // If the last record is this node's own, other nodes must wait for it to expire, so this
         // node may append again at once.
-        self.is_released = last != LastHolder::Other;
+        self.is_released = !matches!(last, LastHolder::Other | LastHolder::EarlierEra);
     }
 
     /// Releases the lease; returns whether this node held it.
@@ -121,21 +169,31 @@
         self.is_released
     }
 
-    /// Records that a record was appended at an offset by a call sent at `sent_ms`.
-    pub fn appended(&mut self, now_ms: u64, sent_ms: u64, offset: u64) {
-        // The offset of its first record fences a term: a later term begins at a higher one.
-        let generation = self.held(now_ms).map_or(offset + 1, |(generation, _)| generation);
+    /// Records that a record was appended at a position by a call sent at `sent_ms` and answered in
+    /// this era.
+    pub fn appended(&mut self, now_ms: u64, sent_ms: u64, at: StorePosition, era: u64) {
+        if self.enter_era(now_ms, era) || self.era != Some(at.era) {
+            // The condition was about a record of another era, so the record gives no lease.
+            self.end = None;
+            return;
+        }
+        let generation =
+            self.held(now_ms).map_or_else(|| generation(at), |(generation, _)| generation);
         self.term = Some((generation, sent_ms + self.ttl_ms - HANDOVER_MARGIN_MS));
-        self.end = Some(offset + 1);
+        self.end = Some(at.offset + 1);
         self.seen_ms = now_ms;
         self.next_renewal_ms = sent_ms + self.renew_ms;
         self.is_released = false;
     }
 
     /// Records that another record was appended first.
-    pub fn refused(&mut self, now_ms: u64, end: u64) {
+    pub fn refused(&mut self, now_ms: u64, end: StorePosition) {
+        if self.enter_era(now_ms, end.era) || self.era != Some(end.era) {
+            // The end has moved back; no record was appended for that.
+            return;
+        }
         self.term = None;
-        self.advance(now_ms, end);
+        self.advance(now_ms, end.offset);
     }
 
     /// Records that a call was not answered: its record may or may not exist.
@@ -143,6 +201,19 @@
         self.end = None;
     }
 
+    /// Enters an era if it is later than the known one; returns whether the store came back from a
+    /// copy.
+    fn enter_era(&mut self, now_ms: u64, era: u64) -> bool {
+        let is_restored = self.era.is_some_and(|known| era > known);
+        if is_restored {
+            self.end = None;
+            self.is_released = false;
+            self.free_from_ms = now_ms + self.ttl_ms;
+        }
+        self.era = self.era.max(Some(era));
+        is_restored
+    }
+
     fn advance(&mut self, now_ms: u64, end: u64) {
         if self.held(now_ms).is_some() {
             // A record that this node did not append ends its term.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -122,7 +122,7 @@
 fn apply_lease_event(fleet: &mut Fleet, now_ms: u64, event: LeaseEvent, effects: &mut Vec<Effect>) {
     match event {
         LeaseEvent::Read { end, last } => fleet.lease.read(now_ms, end, last),
-        LeaseEvent::Appended { sent_ms, offset } => fleet.lease.appended(now_ms, sent_ms, offset),
+        LeaseEvent::Appended { sent_ms, at, era } => fleet.lease.appended(now_ms, sent_ms, at, era),
         LeaseEvent::Refused { end } => fleet.lease.refused(now_ms, end),
         LeaseEvent::Unanswered => fleet.lease.unanswered(),
         LeaseEvent::Released => _ = fleet.lease.release(now_ms),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -41,7 +41,7 @@
         scope: Scope::Node,
         has_store: true,
         version: 1,
-        lease_end: 0,
+        lease_end: StorePosition::default(),
         lease_released: false,
         loads: Vec::new(),
         demand: Vec::new(),
--- a/crates/fleet/tests/fleet/quarantine.rs
+++ b/crates/fleet/tests/fleet/quarantine.rs
@@ -7,6 +7,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::Refusal;
+use balsam_fleet::StorePosition;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::event::LeaseEvent;
@@ -139,7 +140,8 @@
 
     fn lead(&mut self, now_ms: u64) {
         let offset = now_ms;
-        self.apply(now_ms, Event::Lease(LeaseEvent::Appended { sent_ms: now_ms, offset }));
+        let at = StorePosition { era: 0, offset };
+        self.apply(now_ms, Event::Lease(LeaseEvent::Appended { sent_ms: now_ms, at, era: 0 }));
     }
 }
 
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -8,6 +8,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::Order;
+use balsam_fleet::StorePosition;
 use balsam_fleet::configuration::Engine;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::endpoint::MemberState;
@@ -205,7 +206,8 @@
         if self.fleet.lease.held(now_ms + 500).is_none() {
             // Each planner starts at a higher offset of the records.
             let offset = self.generation * 1_000 + now_ms / 500;
-            self.apply(Event::Lease(LeaseEvent::Appended { sent_ms: now_ms, offset }));
+            let at = StorePosition { era: 0, offset };
+            self.apply(Event::Lease(LeaseEvent::Appended { sent_ms: now_ms, at, era: 0 }));
         }
         if now_ms.is_multiple_of(200) {
             self.publish_list();
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -126,6 +126,8 @@
     segments: Vec<Segment>,
     #[prost(message, repeated, tag = "14")]
     survivals: Vec<SurvivingEndpoint>,
+    #[prost(uint64, tag = "15")]
+    lease_era: u64,
 }
 
 /// An endpoint that closed a connection and has not crashed.
@@ -260,7 +262,8 @@
         lost: lost.collect(),
         data_centre: report.data_centre.to_string(),
         version: report.version,
-        lease_end: report.lease_end,
+        lease_end: report.lease_end.offset,
+        lease_era: report.lease_end.era,
         lease_released: report.lease_released,
         has_store: report.has_store,
         known_node_count: *known_node_count,
@@ -392,7 +395,7 @@
         scope,
         has_store: report.has_store,
         version: report.version,
-        lease_end: report.lease_end,
+        lease_end: StorePosition { era: report.lease_era, offset: report.lease_end },
         lease_released: report.lease_released,
         loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
