Tell other nodes that a lapsed endpoint is listed again

Callers got 503 from nodes that do not read the list themselves: 2.2 s after an outage or a restore of the store they removed endpoints that were listed again. The reader of a data centre passes on what changed, and the entry of an endpoint that it had kept through the grace period equalled the known one, so it was not passed on. The others kept the endpoint as lapsed until its grace ended. The entry of a lapsed endpoint now counts as changed. Ruled out: the copy of the list (the reader itself kept and served the endpoint all the while).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -123,9 +123,11 @@
             .collect()
     }
 
-    /// Whether an entry equals the known one.
+    /// Whether an entry equals the known one. The entry of an endpoint that lapsed is news: other
+    /// nodes that are not told of it remove the endpoint.
     pub fn matches_known(&self, listed: &Endpoint) -> bool {
-        let known = self.endpoints.get(&listed.vm);
+        let known =
+            self.endpoints.get(&listed.vm).filter(|_| !self.lapsed.contains_key(&listed.vm));
         known.is_some_and(|known| is_same(known, &self.with_leaving_mark(listed.clone())))
     }
 
--- a/crates/fleet/tests/fleet/directory.rs
+++ b/crates/fleet/tests/fleet/directory.rs
@@ -60,3 +60,15 @@
     let restarted = Endpoint { started_unix_ms: 5, slots: 5, ..endpoint("one", 1) };
     assert!(directory.apply(1_400, ListChange::Put(Box::new(restarted))).is_changed);
 }
+
+/// Guards against keeping the return of a lapsed endpoint from the other nodes of the data centre,
+/// which the reader of the list tells of changes only: they removed it when the grace period ended.
+#[test]
+fn the_entry_of_a_lapsed_endpoint_is_a_change() {
+    let mut directory = listed();
+    assert!(directory.matches_known(&endpoint("one", 1)));
+    directory.apply(6_000, ListChange::Removed(vm("one")));
+    assert!(!directory.matches_known(&endpoint("one", 1)));
+    directory.apply(6_400, ListChange::Put(Box::new(endpoint("one", 1))));
+    assert!(directory.matches_known(&endpoint("one", 1)));
+}
