--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -19,6 +19,7 @@
 use crate::lease::LastHolder;
 use crate::operators::OperatorsReport;
 use crate::operators::OperatorsUpdate;
+use crate::position::StorePosition;
 use crate::quarantine::Blamed;
 use crate::quarantine::QuarantineReport;
 use crate::quarantine::SegmentEvidence;
@@ -99,8 +100,8 @@
 pub enum LeaseEvent {
     /// The records were read.
     Read {
-        /// The offset after the last record.
-        end: u64,
+        /// The position after the last record.
+        end: StorePosition,
         /// Who appended the last record.
         last: LastHolder,
     },
@@ -108,13 +109,15 @@
     Appended {
         /// When the call was sent.
         sent_ms: u64,
-        /// The offset of the record.
-        offset: u64,
+        /// The position that was the condition.
+        at: StorePosition,
+        /// The era of the answer.
+        era: u64,
     },
     /// Another node's record was appended first.
     Refused {
-        /// The offset after the last record.
-        end: u64,
+        /// The position after the last record.
+        end: StorePosition,
     },
     /// The call was not answered.
     Unanswered,
@@ -264,8 +267,8 @@
     pub has_store: bool,
     /// The version of the configuration in force; zero before the first.
     pub version: u64,
-    /// The offset after the last known record of the planner lease.
-    pub lease_end: u64,
+    /// The position after the last known record of the planner lease.
+    pub lease_end: StorePosition,
     /// Whether that record releases the lease.
     pub lease_released: bool,
     /// Load of the node's own requests by endpoint.
@@ -504,6 +507,17 @@
         /// The node that reported it; `None` if this node read it itself.
         told_by: Option<Arc<str>>,
     },
+    /// The store came back from a copy, in which the last changes of the operators may be missing.
+    StoreRestored {
+        /// The last known position before.
+        before: StorePosition,
+        /// The first known position after.
+        position: StorePosition,
+        /// Data centres that stay evacuated although the copy does not show it.
+        retained: Vec<DataCentreName>,
+        /// The node that reported it; `None` if this node read it itself.
+        told_by: Option<Arc<str>>,
+    },
     /// The list of endpoints was read again after an outage.
     ListReturned {
         /// Duration of the outage.
--- a/crates/fleet/tests/fleet/planning_node.rs
+++ b/crates/fleet/tests/fleet/planning_node.rs
@@ -10,6 +10,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::Order;
+use balsam_fleet::StorePosition;
 use balsam_fleet::Target;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::AttemptOutcome;
@@ -107,8 +108,9 @@
     pub fn hear_and_renew(&mut self) {
         self.fleet.planner.heard_from(self.now_ms, &support::data_centre("a"));
         if self.fleet.lease.held(self.now_ms + 500).is_none() {
-            let (sent_ms, offset) = (self.now_ms, self.now_ms / 500);
-            self.apply(Event::Lease(LeaseEvent::Appended { sent_ms, offset }));
+            let (sent_ms, era) = (self.now_ms, 0);
+            let at = StorePosition { era, offset: self.now_ms / 500 };
+            self.apply(Event::Lease(LeaseEvent::Appended { sent_ms, at, era }));
         }
     }
 
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -3,6 +3,7 @@
 //! Lost datagrams are tolerated: each report carries the complete state and the next one follows
 //! soon, and a missed change to the list shows as a gap, after which the list itself is read.
 
+use std::cmp;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use balsam_fleet::Event;
+use balsam_fleet::StorePosition;
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::event::Scope;
 use balsam_fleet::event::SentRequest;
@@ -23,6 +25,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::clock::now_ms;
 use crate::hub::Hub;
@@ -84,6 +87,8 @@
 /// Changes to the list of endpoints, as read by another node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListUpdate {
+    /// The era of the store that the offsets belong to.
+    pub era: u64,
     /// The offset in the list's topic at which the changes start.
     pub from: u64,
     /// The offset after the last change.
@@ -101,21 +106,31 @@
     pub record: Vec<u8>,
 }
 
-/// How an update relates to the offset up to which a node has read.
+/// How an update relates to the position up to which a node has read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Continuity {
-    /// It continues from that offset; it may contain no changes.
+    /// It continues from that position; it may contain no changes.
     Contiguous,
-    /// It ends before that offset.
+    /// It ends before that position.
     Stale,
-    /// It starts after that offset, so changes were missed.
+    /// It belongs to an earlier era, so its sender is not current.
+    Outdated,
+    /// It starts after that position, so changes were missed.
     Gap,
 }
 
 impl ListUpdate {
     /// Splits the changes found by a read into contiguous parts of at most `max_bytes` of records.
-    pub fn split(from: u64, to: u64, changed: Vec<ChangedRecord>, max_bytes: usize) -> Vec<Self> {
-        let mut parts = vec![Self { from, to, records: Vec::new() }];
+    ///
+    /// Both positions belong to the same era.
+    pub fn split(
+        from: StorePosition,
+        to: StorePosition,
+        changed: Vec<ChangedRecord>,
+        max_bytes: usize,
+    ) -> Vec<Self> {
+        let (era, to) = (from.era, to.offset);
+        let mut parts = vec![Self { era, from: from.offset, to, records: Vec::new() }];
         let mut bytes = 0;
         for ChangedRecord { offset, record } in changed {
             bytes += record.len();
@@ -123,7 +138,7 @@
             if bytes > max_bytes && !last.records.is_empty() {
                 last.to = offset;
                 bytes = record.len();
-                parts.push(Self { from: offset, to, records: vec![record] });
+                parts.push(Self { era, from: offset, to, records: vec![record] });
             } else {
                 last.records.push(record);
             }
@@ -131,12 +146,18 @@
         parts
     }
 
-    /// Returns how the update relates to a node that has read up to `offset`.
-    pub fn continuity_from(&self, offset: u64) -> Continuity {
-        match (self.from <= offset, offset <= self.to) {
-            (true, true) => Continuity::Contiguous,
-            (true, false) => Continuity::Stale,
-            (false, _) => Continuity::Gap,
+    /// Returns how the update relates to a node that has read up to a position.
+    pub fn continuity_from(&self, position: StorePosition) -> Continuity {
+        match (
+            self.era.cmp(&position.era),
+            self.from <= position.offset,
+            position.offset <= self.to,
+        ) {
+            (cmp::Ordering::Less, _, _) => Continuity::Outdated,
+            (cmp::Ordering::Greater, _, _) => Continuity::Gap,
+            (cmp::Ordering::Equal, true, true) => Continuity::Contiguous,
+            (cmp::Ordering::Equal, true, false) => Continuity::Stale,
+            (cmp::Ordering::Equal, false, _) => Continuity::Gap,
         }
     }
 }
@@ -179,6 +200,8 @@
     /// The newest configuration version reported by another node.
     newest_peer_version: AtomicU64,
     newer_version_reported: Notify,
+    /// The latest era of the store reported by another node.
+    latest_peer_era: watch::Sender<u64>,
 }
 
 impl Gossip {
@@ -198,6 +221,7 @@
             updates,
             newest_peer_version: AtomicU64::new(0),
             newer_version_reported: Notify::new(),
+            latest_peer_era: watch::Sender::new(0),
         };
         (Arc::new(gossip), receiver)
     }
@@ -240,13 +264,29 @@
         }
     }
 
+    /// Waits until another node reported a later era of the store than this one; returns it.
+    pub async fn later_era_reported(&self, than: u64) -> u64 {
+        let mut era = self.latest_peer_era.subscribe();
+        let later = era.wait_for(|era| *era > than).await.map(|era| *era);
+        match later {
+            Ok(era) => era,
+            // The sender cannot be dropped meanwhile.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Whether another node's report was received since the start.
     pub fn has_heard_peers(&self) -> bool {
         self.peers().values().any(|peer| peer.data_centre.is_some())
     }
 
     /// Sends the changes found by a read of the list to the nodes of the same data centre.
-    pub async fn send_list_update(&self, from: u64, to: u64, changed: Vec<ChangedRecord>) {
+    pub async fn send_list_update(
+        &self,
+        from: StorePosition,
+        to: StorePosition,
+        changed: Vec<ChangedRecord>,
+    ) {
         let local_peers = self.peer_addresses(true);
         for update in ListUpdate::split(from, to, changed, MAX_UPDATE_BYTES) {
             let bytes = message::encode_update(&update);
@@ -451,6 +491,12 @@
         if self.has_newer_peer_version() {
             self.newer_version_reported.notify_one();
         }
+        let era = report.operators.position.era;
+        self.latest_peer_era.send_if_modified(|latest| {
+            let is_later = era > *latest;
+            *latest = era.max(*latest);
+            is_later
+        });
         let is_node_report = report.scope == Scope::Node;
         self.hub.apply(Event::Peer(report));
         if is_node_report && let Some(nodes) = self.node_list_for(from, known_node_count) {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,8 +1,10 @@
 //! Encodes and decodes the messages between nodes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use balsam_fleet::StorePosition;
 use balsam_fleet::demand::BusyGroups;
 use balsam_fleet::event::LostGroup;
 use balsam_fleet::event::PeerLoad;
@@ -37,6 +39,9 @@
 /// Highest number of nodes that a summary may state: no data centre has as many.
 const MAX_NODES: u32 = 65_536;
 
+/// Highest era of the store: one begins each time that the store comes back from a copy.
+const MAX_ERA: u64 = 1 << 20;
+
 /// Highest average age of the figures in a summary: a day. They count for seconds.
 const MAX_AGE_MS: u64 = 86_400_000;
 
@@ -141,6 +146,8 @@
     segments: Vec<Segment>,
     #[prost(message, repeated, tag = "14")]
     survivals: Vec<SurvivingEndpoint>,
+    #[prost(uint64, tag = "15")]
+    lease_era: u64,
 }
 
 /// An endpoint that closed a connection and has not crashed.
@@ -177,11 +184,17 @@
 #[derive(Clone, PartialEq, Message)]
 struct Operators {
     #[prost(uint64, tag = "1")]
-    position: u64,
+    offset: u64,
     #[prost(string, repeated, tag = "2")]
     evacuated: Vec<String>,
     #[prost(uint64, optional, tag = "3")]
     read_age_ms: Option<u64>,
+    #[prost(uint64, tag = "4")]
+    era: u64,
+    #[prost(string, repeated, tag = "5")]
+    retained: Vec<String>,
+    #[prost(uint64, tag = "6")]
+    era_age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -234,6 +247,8 @@
     to: u64,
     #[prost(bytes = "vec", repeated, tag = "3")]
     records: Vec<Vec<u8>>,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 /// Encodes a report.
@@ -269,7 +284,8 @@
         lost: lost.collect(),
         data_centre: report.data_centre.to_string(),
         version: report.version,
-        lease_end: report.lease_end,
+        lease_end: report.lease_end.offset,
+        lease_era: report.lease_end.era,
         lease_released: report.lease_released,
         has_store: report.has_store,
         known_node_count: *known_node_count,
@@ -282,10 +298,16 @@
 }
 
 fn encode_operators(report: &OperatorsReport) -> Operators {
+    let names = |data_centres: &BTreeSet<DataCentreName>| {
+        data_centres.iter().map(ToString::to_string).collect()
+    };
     Operators {
-        position: report.position,
-        evacuated: report.evacuated.iter().map(ToString::to_string).collect(),
+        offset: report.position.offset,
+        evacuated: names(&report.evacuated),
         read_age_ms: report.read_age_ms,
+        era: report.position.era,
+        retained: names(&report.retained),
+        era_age_ms: report.era_age_ms,
     }
 }
 
@@ -326,7 +348,8 @@
 
 /// Encodes changes to the list of endpoints.
 pub(crate) fn encode_update(update: &ListUpdate) -> Vec<u8> {
-    let update = Update { from: update.from, to: update.to, records: update.records.clone() };
+    let ListUpdate { era, from, to, records } = update.clone();
+    let update = Update { from, to, records, era };
     Datagram { update: Some(update), ..Datagram::default() }.encode_to_vec()
 }
 
@@ -337,10 +360,10 @@
         (Some(report), None, None, None) => {
             report_from(report).map(|message| Envelope::Report(Box::new(message)))
         }
-        (None, Some(Update { from, to, records }), None, None)
-            if from <= to && to <= MAX_OFFSET =>
+        (None, Some(Update { from, to, records, era }), None, None)
+            if from <= to && to <= MAX_OFFSET && era <= MAX_ERA =>
         {
-            Some(Envelope::Update(ListUpdate { from, to, records }))
+            Some(Envelope::Update(ListUpdate { era, from, to, records }))
         }
         (None, None, Some(nodes), None) => {
             nodes.nodes.into_iter().map(node_from).collect::<Option<_>>().map(Envelope::Nodes)
@@ -408,7 +431,7 @@
         scope,
         has_store: report.has_store,
         version: report.version,
-        lease_end: at_most(report.lease_end, MAX_OFFSET)?,
+        lease_end: position(report.lease_era, report.lease_end)?,
         lease_released: report.lease_released,
         loads: report.loads.into_iter().map(load).collect::<Option<_>>()?,
         demand: report.demand.into_iter().map(demand).collect::<Option<_>>()?,
@@ -442,9 +465,20 @@
     })
 }
 
+fn position(era: u64, offset: u64) -> Option<StorePosition> {
+    Some(StorePosition { era: at_most(era, MAX_ERA)?, offset: at_most(offset, MAX_OFFSET)? })
+}
+
 fn operators_from(operators: Operators) -> Option<OperatorsReport> {
-    let Operators { position, evacuated, read_age_ms } = operators;
-    let position = at_most(position, MAX_OFFSET)?;
-    let evacuated = evacuated.into_iter().map(|name| DataCentreName::try_from(name).ok());
-    Some(OperatorsReport { position, evacuated: evacuated.collect::<Option<_>>()?, read_age_ms })
+    let Operators { offset, evacuated, read_age_ms, era, retained, era_age_ms } = operators;
+    let names = |names: Vec<String>| {
+        names.into_iter().map(|name| DataCentreName::try_from(name).ok()).collect::<Option<_>>()
+    };
+    Some(OperatorsReport {
+        position: position(era, offset)?,
+        evacuated: names(evacuated)?,
+        retained: names(retained)?,
+        era_age_ms,
+        read_age_ms,
+    })
 }
--- a/crates/relay/tests/failed_state.rs
+++ b/crates/relay/tests/failed_state.rs
@@ -7,9 +7,11 @@
 
 use balsam_fleet::Event;
 use balsam_fleet::FleetSettings;
+use balsam_fleet::StorePosition;
 use balsam_fleet::event::LeaseEvent;
 use balsam_fleet::event::OrderAnswer;
 use balsam_fleet::event::ProbeAnswer;
+use balsam_fleet::lease::LastHolder;
 use balsam_relay::EndpointCalls;
 use balsam_relay::Hub;
 use balsam_relay::RelayMetrics;
@@ -36,7 +38,9 @@
 
 /// Applies an event whose time overflows in the reducer; tests are built with overflow checks.
 fn panic_in_the_reducer(hub: &Arc<Hub>) {
-    let appended = LeaseEvent::Appended { sent_ms: u64::MAX, offset: 1 };
+    let at = StorePosition { era: 0, offset: 1 };
+    let appended = LeaseEvent::Appended { sent_ms: u64::MAX, at, era: 0 };
+    hub.apply(Event::Lease(LeaseEvent::Read { end: at, last: LastHolder::Nobody }));
     let result = catch_unwind(AssertUnwindSafe(|| hub.apply(Event::Lease(appended))));
     assert!(result.is_err(), "the reducer took the event");
 }
--- a/crates/relay/tests/odd_datagrams.rs
+++ b/crates/relay/tests/odd_datagrams.rs
@@ -7,6 +7,7 @@
 
 use balsam_fleet::Event;
 use balsam_fleet::FleetSettings;
+use balsam_fleet::StorePosition;
 use balsam_fleet::event::OrderAnswer;
 use balsam_fleet::event::ProbeAnswer;
 use balsam_relay::EndpointCalls;
@@ -88,6 +89,8 @@
 struct Operators {
     #[prost(uint64, tag = "1")]
     position: u64,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -189,8 +192,8 @@
     Report { summary, data_centre: "b".to_owned(), ..report("b") }
 }
 
-fn operators(position: u64) -> Report {
-    Report { operators: Some(Operators { position }), ..report("n2") }
+fn operators(position: u64, era: u64) -> Report {
+    Report { operators: Some(Operators { position, era }), ..report("n2") }
 }
 
 /// Guards against a number of another node that ends the exchange between nodes or the tick by a
@@ -204,7 +207,8 @@
 #[case::node_count(summary(u32::MAX, 1))]
 #[case::age(summary(3, u64::MAX))]
 #[case::lease(Report { lease_end: u64::MAX, ..report("n2") })]
-#[case::position(operators(u64::MAX))]
+#[case::position(operators(u64::MAX, 0))]
+#[case::era(operators(1, u64::MAX))]
 #[tokio::test]
 async fn a_node_receives_past_an_odd_report(#[case] odd: Report) {
     let receiver = Receiver::start().await;
@@ -220,11 +224,11 @@
     receiver.receive(&Datagram { sent: Some(sent), ..Datagram::default() }).await;
     receiver.use_state();
     assert!(!receiver.receiving.is_finished(), "the exchange has ended");
-    let next = Report { operators: Some(Operators { position: 7 }), ..report("n4") };
+    let next = Report { operators: Some(Operators { position: 7, era: 0 }), ..report("n4") };
     receiver.receive(&Datagram { report: Some(next), ..Datagram::default() }).await;
     receiver.use_state();
     receiver.hub.read(|fleet| {
-        assert_eq!(fleet.operators.position(), 7);
+        assert_eq!(fleet.operators.position(), StorePosition { era: 0, offset: 7 });
         assert!(fleet.nodes(now_ms()) < 1_000, "{} nodes", fleet.nodes(now_ms()));
     });
 }
