Give an attempt beside a late one a free slot or none

Since attempts are kept open, a plain request that may be repeated and is late held two places at its service. When the service was late because it was full, the second attempt took one of the last places, and requests without any endpoint waited or were refused. Before, the first attempt was ended and its place was free.

A second fault in the same place: callers got 502 after the crash of their endpoint when an attempt beside the first had been refused before. The refused attempt stayed the newest one and counted as a possible run, so the failure of the first started no other.

An attempt beside one that is only late is optional now: it is sent if nothing is queued and an endpoint would run it at once, and is otherwise refused without drawing on the retry budget. A refused one is forgotten and tried again after another latency target. An attempt beside a silent stream or a lost group waits for a place as before, since its first one is unlikely to go on. The metric of repeats counts a late attempt when it is placed.

With the rule and without the second fix, a_request_is_sent_again_after_a_crash_although_a_late_attempt_was_refused failed with (502, "") for (200, "entry").

The remaining price is that a silent first attempt of a stream holds its slot until the other delivers.

The suites of fleet (but for the known failure a_short_model_gets_groups_from_hosts_without_its_weights), adapter (path) and relay pass.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -125,6 +125,22 @@
         && !fleet.reachability.is_cut(now_ms, &server.data_centre)
 }
 
+/// Whether no request is queued and an endpoint would run one more at once.
+pub(crate) fn has_free_slot(
+    fleet: &Fleet,
+    now_ms: u64,
+    kind: &RequestKind,
+    arrival: &Arrival,
+) -> bool {
+    let is_free = |server: &&Server| {
+        let in_flight = fleet.loads.get(&server.vm).map_or(0, |load| load.total(now_ms).0);
+        is_usable(fleet, now_ms, server)
+            && !arrival.tried.contains(&server.vm)
+            && in_flight < server.slots
+    };
+    fleet.waiting.next(now_ms, kind).is_none() && fleet.serving.of(kind).iter().any(|s| is_free(&s))
+}
+
 fn has_capacity(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
     let load = fleet.loads.get(&server.vm);
     let in_flight = load.map_or(0, |load| load.total(now_ms).0);
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -161,6 +161,9 @@
     pub is_retry: bool,
     /// Whether the caller already has part of the answer, which a later endpoint would complete.
     pub has_partial_answer: bool,
+    /// Whether an earlier attempt is still running and only late. This one takes a free slot or none:
+    /// under load, it would take the place of a request that has no endpoint yet.
+    pub is_optional: bool,
 }
 
 /// Destination of an attempt.
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -247,6 +247,10 @@
         effects.push(Effect::Refuse { attempt_id, refusal });
         return;
     }
+    if arrival.is_optional && !choice::has_free_slot(fleet, now_ms, &kind, &arrival) {
+        effects.push(refuse(RefuseReason::Overloaded, 0));
+        return;
+    }
     if arrival.is_retry {
         let budget = fleet.budget(now_ms, &arrival.pool);
         if !budget.has_room(now_ms) {
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use balsam_fleet::Arrival;
 use balsam_fleet::Effect;
 use balsam_fleet::Endpoint;
 use balsam_fleet::Event;
@@ -114,7 +115,7 @@
         ..support::endpoint(name, port)
     };
     let mut fleet = fleet(vec![plain("one", 1), plain("two", 2)]);
-    let request = |attempt_id| balsam_fleet::Arrival {
+    let request = |attempt_id| Arrival {
         pool: PoolName::try_from("ledger").unwrap(),
         model: None,
         ..arrival(attempt_id, 1_000)
@@ -499,3 +500,39 @@
     let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(1, 1_010)));
     assert_eq!(dispatched(&effects, 1), Some(vm(expected)));
 }
+
+/// While an answer was late because its service was busy, a second attempt beside the first took one
+/// of the last places, and a request without any endpoint was refused for it.
+#[test]
+fn an_attempt_beside_a_late_one_takes_a_free_slot_or_none() {
+    let plain = |name: &str, port| Endpoint {
+        pool: PoolName::try_from("ledger").unwrap(),
+        slots: 2,
+        ..support::endpoint(name, port)
+    };
+    let mut fleet = fleet(vec![plain("one", 1), plain("two", 2)]);
+    let request = |attempt_id| Arrival {
+        pool: PoolName::try_from("ledger").unwrap(),
+        model: None,
+        ..arrival(attempt_id, 1_000)
+    };
+    for attempt_id in 1..=4 {
+        reduce(&mut fleet, 1_000, Event::Arrive(request(attempt_id)));
+    }
+    let beside = |attempt_id| Arrival {
+        is_optional: true,
+        is_retry: true,
+        tried: vec![vm("one")],
+        ..request(attempt_id)
+    };
+    let effects = reduce(&mut fleet, 1_100, Event::Arrive(beside(5)));
+    assert!(matches!(effects[..], [Effect::Refuse { attempt_id: 5, .. }]), "{effects:?}");
+    let effects = reduce(&mut fleet, 1_100, Event::Arrive(request(6)));
+    assert!(dispatched(&effects, 6).is_some(), "the place is left for a first attempt");
+    for attempt_id in 1..=4 {
+        let outcome = AttemptOutcome::Answered;
+        reduce(&mut fleet, 1_150, Event::Ended { attempt_id, outcome });
+    }
+    let effects = reduce(&mut fleet, 1_160, Event::Arrive(beside(7)));
+    assert_eq!(dispatched(&effects, 7), Some(vm("two")), "a slot is free");
+}
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -148,6 +148,7 @@
         tried: Vec::new(),
         is_retry: false,
         has_partial_answer: false,
+        is_optional: false,
     }
 }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use balsam_fleet::Arrival;
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
@@ -55,7 +56,7 @@
         newest: 0,
         error_answer: None,
     };
-    attempts.start();
+    attempts.start(false);
     let target = Duration::from_millis(request.route.target_ms);
     let mut late_at = None;
     loop {
@@ -70,6 +71,9 @@
         };
         match step {
             Step::Placed { number, placement } => {
+                if !attempts.open.is_empty() {
+                    shared.hub.metrics.repeat("late");
+                }
                 attempts.tried.push(placement.target.vm.clone());
                 late_at = attempts.allows_another().then(|| Instant::now() + target);
                 attempts.open.push(run_attempt(shared, request, number, placement).boxed());
@@ -79,6 +83,8 @@
                     shared.log_refusal(request, &refusal);
                     return attempts.give_up(refusal.retry_after_ms);
                 }
+                attempts.take_back_newest();
+                late_at = Some(Instant::now() + target);
             }
             Step::Answered { answer, .. } if !answer.status.is_server_error() => {
                 return Ok(caller_response(answer));
@@ -127,11 +133,11 @@
 }
 
 impl<'a> Attempts<'a> {
-    fn start(&mut self) {
+    fn start(&mut self, is_optional: bool) {
         self.newest += 1;
         let number = self.newest;
         let is_retry = self.counts.has_reached_endpoint();
-        let arrival = self.request.arrival(&self.tried, is_retry, false);
+        let arrival = Arrival { is_optional, ..self.request.arrival(&self.tried, is_retry, false) };
         let shared: &'a Shared = self.shared;
         let placing = async move {
             match shared.hub.place(arrival).await {
@@ -156,11 +162,16 @@
     fn start_beside_newest(&mut self) {
         if self.allows_another() {
             self.counts.count_possible_run();
-            self.shared.hub.metrics.repeat("late");
-            self.start();
+            self.start(true);
         }
     }
 
+    /// Forgets the newest attempt, which was refused beside another one.
+    fn take_back_newest(&mut self) {
+        self.newest -= 1;
+        self.counts.uncount_possible_run();
+    }
+
     /// Starts another attempt if the newest one has failed and the route allows it; returns whether
     /// an attempt is open.
     fn continue_after(&mut self, number: u32, failure: Option<&AttemptFailure>) -> bool {
@@ -168,7 +179,7 @@
             if let Some(failure) = failure {
                 self.shared.hub.metrics.repeat(failure.as_str());
             }
-            self.start();
+            self.start(false);
         }
         !self.open.is_empty()
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -68,6 +68,7 @@
             tried: tried.to_vec(),
             is_retry,
             has_partial_answer,
+            is_optional: false,
         }
     }
 
