Answer requests that are still open at the limit of the shutdown

Callers whose request had no answer when shutdown.limit_s was reached saw a closed connection, and could not tell whether the request had run. Cause: Front::shutdown returned the number of cut requests and the process ended.

At the limit, each request without a response head now gets one: 503 no-endpoint, not_run, with Retry- After, if no attempt was dispatched (it waits for its body, admission or a permit), and 502 endpoint- failed, unknown, otherwise; with a key always unknown. The process waits 0.2 s more for them to be sent. The mark of dispatch is set where the request is allowed to be written, and for a forward before the call. Answers that have begun are cut visibly, as before.

Connections that are closed for lack of a slot still get no answer: their request is not read, so neither its protocol nor its key is known, and the key decides the outcome.

--- a/crates/serve/src/attempt.rs
+++ b/crates/serve/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,19 +31,36 @@
 
 /// When an attempt last made progress, on the node's clock.
 #[derive(Debug, Clone)]
-pub(crate) struct Progress(Arc<AtomicU64>);
+pub(crate) struct Progress {
+    last_ms: Arc<AtomicU64>,
+    dispatched: Dispatched,
+}
+
+/// Whether any attempt of a request may have reached an endpoint.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Dispatched(Arc<AtomicBool>);
+
+impl Dispatched {
+    pub fn set(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
 
 impl Progress {
-    pub fn new(now_ms: u64) -> Self {
-        Self(Arc::new(AtomicU64::new(now_ms)))
+    pub fn new(now_ms: u64, dispatched: Dispatched) -> Self {
+        Self { last_ms: Arc::new(AtomicU64::new(now_ms)), dispatched }
     }
 
     pub fn record(&self, now_ms: u64) {
-        self.0.store(now_ms, Ordering::Relaxed);
+        self.last_ms.store(now_ms, Ordering::Relaxed);
     }
 
     pub fn last_ms(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.last_ms.load(Ordering::Relaxed)
     }
 }
 
@@ -68,6 +86,7 @@
         let is_claim_valid = call.dispatch_until_ms.is_none_or(|until_ms| now_ms < until_ms);
         let is_allowed = is_permit_valid && is_claim_valid && now_ms < call.deadline_ms;
         if is_allowed {
+            progress.dispatched.set();
             progress.record(now_ms);
         }
         is_allowed
--- a/crates/serve/src/compare.rs
+++ b/crates/serve/src/compare.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::attempt::Dispatched;
 use crate::flow;
 use crate::ports::AnswerPart;
 use crate::ports::Call;
@@ -81,7 +82,7 @@
 }
 
 async fn summary(shared: &Arc<Shared>, copy: &Call) -> Option<AnswerSummary> {
-    let mut answer = flow::run(shared, copy, true).await.ok()?;
+    let mut answer = flow::run(shared, copy, true, &Dispatched::default()).await.ok()?;
     let mut body = Sha256::new();
     loop {
         match answer.body.next().await? {
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -93,7 +93,9 @@
 /// Serves a connection in its own task.
 async fn start(shared: &Arc<Shared>, tree: &Arc<Tree>, stream: TcpStream, peer: SocketAddr) {
     let Some(permit) = acquire_slot(shared).await else {
-        // Closing at once bounds the memory and lets the load balancer use another node.
+        // Closing at once bounds the memory and lets the load balancer use another node. An answer
+        // needs the request to be read: its protocol and its key, which decides the outcome, are
+        // not known before.
         shared.metrics.connections_refused.add(1, &[]);
         return;
     };
--- a/crates/serve/src/flow.rs
+++ b/crates/serve/src/flow.rs
@@ -23,6 +23,7 @@
 use futures::stream::FuturesUnordered;
 
 use crate::attempt;
+use crate::attempt::Dispatched;
 use crate::attempt::Progress;
 use crate::caller::not_run;
 use crate::ports::AnswerPart;
@@ -44,11 +45,13 @@
     shared: &Arc<Shared>,
     call: &Call,
     may_forward: bool,
+    dispatched: &Dispatched,
 ) -> Result<AttemptAnswer, AttemptFailure> {
     let mut attempts = Attempts {
         shared,
         call,
         may_forward,
+        dispatched,
         open: FuturesUnordered::new(),
         newest: None,
         history: AttemptHistory::default(),
@@ -107,6 +110,7 @@
     shared: &'a Arc<Shared>,
     call: &'a Call,
     may_forward: bool,
+    dispatched: &'a Dispatched,
     open: FuturesUnordered<BoxFuture<'a, Ended>>,
     newest: Option<Newest>,
     history: AttemptHistory,
@@ -187,7 +191,7 @@
             self.shared.metrics.retries.add(1, &[]);
         }
         let (shared, call, now_ms) = (self.shared, self.call, self.now_ms());
-        let progress = Progress::new(now_ms);
+        let progress = Progress::new(now_ms, self.dispatched.clone());
         let number = self.newest.as_ref().map_or(1, |newest| newest.number + 1);
         let silence_limit = attempt::silence_limit(shared, pool.spec.kind, call);
         let (newest_target, attempt) = match target {
@@ -202,6 +206,7 @@
             }
             Target::Remote(remote) => {
                 self.history.data_centres.push(remote.data_centre.clone());
+                self.dispatched.set();
                 let attempt = async move {
                     let result = await_first_part(forward(shared, call, remote).await).await;
                     Ended { number, group: None, result }
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -11,7 +11,6 @@
 use balsam_types::Outcome;
 use balsam_types::RouteSpec;
 use balsam_types::claim::RequestHash;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Version;
@@ -26,6 +25,7 @@
 
 use crate::admit::AdmissionGate;
 use crate::admit::AdmissionGuard;
+use crate::attempt::Dispatched;
 use crate::body::BodyMemory;
 use crate::body::BodyReservation;
 use crate::body::read_body;
@@ -57,6 +57,9 @@
 /// How often expired unused connections to endpoints are closed.
 const CLOSE_EXPIRED_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long the answers that are given at the limit of the shutdown may take to be sent.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// The callers' interface of an entry node.
 #[derive(Clone)]
 pub struct Front {
@@ -82,6 +85,7 @@
             metrics: Metrics::new(meter),
             log,
             stopping: watch::Sender::new(false),
+            cutting: watch::Sender::new(false),
             accept_loops: watch::Sender::new(0),
             lingering: Arc::new(Semaphore::new(linger::MAX_LINGERING as usize)),
             connection_slots: Arc::new(Semaphore::new(options.max_connections)),
@@ -117,7 +121,7 @@
         if *self.shared.stopping.borrow() {
             return Err(not_run(ProblemKind::NoEndpoint, "the entry node is shutting down"));
         }
-        let answer = flow::run(&self.shared, &call, false).await?;
+        let answer = flow::run(&self.shared, &call, false, &Dispatched::default()).await?;
         let body = futures::StreamExt::map(answer.body, move |part| {
             let _open = &open;
             part
@@ -154,7 +158,8 @@
 
     /// Stops accepting connections and waits for open requests to end, for at most `limit`. A request
     /// whose head arrives after the start is refused as not run, on a connection that then closes;
-    /// one whose head arrived before is served, even if its body arrives later. Returns
+    /// one whose head arrived before is served, even if its body arrives later. At the limit,
+    /// requests without an answer get one that says whether they may have run. Returns
     /// the number of requests that were still open then.
     pub async fn shutdown(&self, limit: Duration) -> u64 {
         if !self.shared.stopping.send_replace(true) {
@@ -177,8 +182,13 @@
             // The end of the process resets a socket that is still read.
             let _ = self.shared.lingering.acquire_many(linger::MAX_LINGERING).await;
         };
-        let _ = tokio::time::timeout(limit, all_ended).await;
+        if tokio::time::timeout(limit, all_ended).await.is_ok() {
+            slog::info!(self.shared.log, "shutdown ended"; "cut" => 0);
+            return 0;
+        }
         let unfinished = self.open_requests();
+        self.shared.cutting.send_replace(true);
+        tokio::time::sleep(LAST_ANSWERS_TIME).await;
         slog::info!(self.shared.log, "shutdown ended"; "cut" => unfinished);
         unfinished
     }
@@ -191,10 +201,21 @@
     let request_id = caller::request_id(request.headers());
     let is_http1 = request.version() <= Version::HTTP_11;
     let mut route = Arc::from("none");
+    let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
     let is_stopping = *shared.stopping.borrow();
+    let dispatched = Dispatched::default();
+    let mut cutting = shared.cutting.subscribe();
     let result = match is_stopping {
-        true => Err(stopping_failure(request.headers())),
-        false => process(&shared, request, &request_id, &mut route, started, open).await,
+        true => Err(stopping_failure(has_key, &dispatched)),
+        false => tokio::select! {
+            biased;
+            result = process(
+                &shared, request, &request_id, &mut route, started, open, &dispatched,
+            ) => result,
+            _ = cutting.wait_for(|is_cutting| *is_cutting) => {
+                Err(stopping_failure(has_key, &dispatched))
+            }
+        },
     };
     let mut response = result.unwrap_or_else(|failure| {
         shared.metrics.request(&route, failure.outcome);
@@ -208,13 +229,15 @@
     response
 }
 
-/// Returns the refusal of a request that arrived after the shutdown began.
-fn stopping_failure(headers: &HeaderMap) -> AttemptFailure {
-    let failure = not_run(ProblemKind::NoEndpoint, "the entry node is shutting down");
-    match headers.contains_key(caller::IDEMPOTENCY_KEY) {
-        true => with_unknown_outcome(failure),
-        false => failure,
+/// Returns the failure of a request that arrived after the shutdown began or has no answer at its
+/// limit.
+fn stopping_failure(has_key: bool, dispatched: &Dispatched) -> AttemptFailure {
+    if dispatched.is_set() {
+        let detail = "the entry node shut down before the answer came";
+        return AttemptFailure::new(Outcome::Unknown, ProblemKind::EndpointFailed, detail);
     }
+    let failure = not_run(ProblemKind::NoEndpoint, "the entry node is shutting down");
+    if has_key { with_unknown_outcome(failure) } else { failure }
 }
 
 /// An admitted request whose key, if it has one, was not yet looked up.
@@ -235,6 +258,7 @@
     route_name: &mut Arc<str>,
     started: Instant,
     open: OpenRequestGuard,
+    dispatched: &Dispatched,
 ) -> Result<Response, AttemptFailure> {
     let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
     let prepared = prepare(shared, request, request_id, route_name).await;
@@ -253,12 +277,12 @@
     };
     let Some(key) = key else {
         context.comparison = compare::start(shared, &route, &call);
-        let answer = flow::run(shared, &call, true).await?;
+        let answer = flow::run(shared, &call, true, dispatched).await?;
         return Ok(respond::answer(answer, context));
     };
     call.idempotent = false;
     let request = claim_request(&call, key)?;
-    match keyed::run(shared, call, request, (open, admission)).await? {
+    match keyed::run(shared, call, request, (open, admission), dispatched.clone()).await? {
         KeyedResponse::Answer(answer) => Ok(respond::answer(answer, context)),
         KeyedResponse::Replay(stored) => {
             shared.metrics.request(route_name, Outcome::Completed);
--- a/crates/serve/src/keyed.rs
+++ b/crates/serve/src/keyed.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 
 use crate::admit::AdmissionGuard;
+use crate::attempt::Dispatched;
 use crate::flow;
 use crate::ports::AnswerPart;
 use crate::ports::AttemptAnswer;
@@ -47,6 +48,7 @@
     mut call: Call,
     request: ClaimRequest,
     guards: (OpenRequestGuard, Arc<AdmissionGuard>),
+    dispatched: Dispatched,
 ) -> Result<KeyedResponse, AttemptFailure> {
     let key = request.key;
     let time_left = shared.time_left(call.deadline_ms);
@@ -64,7 +66,7 @@
             Ok(ClaimResult::Granted { offset, dispatch_until_ms }) => {
                 call.claim_offset = Some(offset);
                 call.dispatch_until_ms = Some(dispatch_until_ms);
-                run_claimed(&shared, &call, key, offset, result_sender).await;
+                run_claimed(&shared, &call, (key, offset), result_sender, &dispatched).await;
             }
         }
     });
@@ -130,21 +132,22 @@
 async fn run_claimed(
     shared: &Arc<Shared>,
     call: &Call,
-    key: ClaimKey,
-    offset: Offset,
+    (key, offset): (ClaimKey, Offset),
     result_sender: oneshot::Sender<Result<KeyedResponse, AttemptFailure>>,
+    dispatched: &Dispatched,
 ) {
-    let AttemptAnswer { status, headers, mut body } = match flow::run(shared, call, true).await {
-        Ok(answer) => answer,
-        Err(failure) => {
-            let not_run = failure.outcome == Outcome::NotRun;
-            let _ = result_sender.send(Err(failure));
-            if not_run {
-                (shared.ports.release)((key, offset)).await;
+    let AttemptAnswer { status, headers, mut body } =
+        match flow::run(shared, call, true, dispatched).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                let not_run = failure.outcome == Outcome::NotRun;
+                let _ = result_sender.send(Err(failure));
+                if not_run {
+                    (shared.ports.release)((key, offset)).await;
+                }
+                return;
             }
-            return;
-        }
-    };
+        };
     let content_type = headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
     let content_type = Arc::from(content_type.unwrap_or_default());
     let (part_sender, part_receiver) = mpsc::channel(ANSWER_QUEUE);
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -32,6 +32,8 @@
     pub metrics: Metrics,
     pub log: Logger,
     pub stopping: watch::Sender<bool>,
+    /// Whether the limit of the shutdown is reached.
+    pub cutting: watch::Sender<bool>,
     /// The number of loops that accept connections.
     pub accept_loops: watch::Sender<usize>,
     pub connection_slots: Arc<Semaphore>,
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod repeated_refusals;
 mod shutdown;
+mod shutdown_limit;
 mod silent_endpoints;
 mod streams;
 mod support;
