Take the events after a comment while a resume is open

What callers saw: a stream that arrived whole was reported as cut (502 answer-truncated), or had no end, on the product's own interface.

Cause: beside a silent connection a resume is open, so there are two sources. The first went on with a comment and the last events in one packet; the comment was passed on, and buffered events were only taken while a single source was open. At the end of that connection they were dropped with it.

Change: what has arrived on any source is taken before the sources are polled, so none is dropped with events.

Evidence: events_after_a_comment_are_forwarded_beside_a_resume failed in 3 of 3 cases before (answer-truncated, and no end within 8 s) and passes now, with the rest of balsam-serve. Ruled out: dropping comments, which keep a caller's connection alive.

--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -174,11 +174,7 @@
         if self.has_ended {
             return (!self.has_sent_end).then(|| self.end());
         }
-        // Several connections are open only if none has an event.
-        if self.is_event_stream
-            && self.sources.len() == 1
-            && let Some(part) = self.take_part(0)
-        {
+        if let Some(part) = self.take_buffered() {
             return Some(part);
         }
         loop {
@@ -202,6 +198,22 @@
         }
     }
 
+    /// Takes what has arrived on any connection and was not taken yet.
+    fn take_buffered(&mut self) -> Option<AnswerPart> {
+        let mut index = 0;
+        while self.is_event_stream && index < self.sources.len() {
+            let open = self.sources.len();
+            if let Some(part) = self.take_part(index) {
+                return Some(part);
+            }
+            // A connection that broke has made room for the next one.
+            if self.sources.len() == open {
+                index += 1;
+            }
+        }
+        None
+    }
+
     /// Returns the time until the answer counts as silent; `None` if that has no effect.
     fn silent_after(&self) -> Option<Duration> {
         let has_effect = !self.is_silent || self.may_resume();
--- a/crates/serve/tests/serve/silent_endpoints.rs
+++ b/crates/serve/tests/serve/silent_endpoints.rs
@@ -345,3 +345,28 @@
     .await;
     crate::support::eventually("the silent attempt is closed", || silent.in_flight() == 0).await;
 }
+
+const COMMENTED_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    x-stream-id: s1\r\ncontent-length: 71\r\n\r\n";
+
+/// Guards against events that stay unread after a comment in the same packet beside a resume.
+#[rstest]
+#[case::resume_without_an_answer(&[])]
+#[case::resume_that_is_refused_late(&[BeSilent, Send(NOT_FOUND)])]
+#[case::resumed_stream_is_silent(&[Send(RESUMED_HEAD)])]
+#[tokio::test]
+async fn events_after_a_comment_are_forwarded_beside_a_resume(#[case] resume: &'static [Step]) {
+    let run = &[
+        Send(COMMENTED_HEAD),
+        Send(EVENTS_1),
+        BeSilent,
+        Send(": ka\n\nid: 3\ndata: c\n\nid: 4\ndata: [DONE]\n\n"),
+    ];
+    let (first, _) = scripted_endpoint(run, resume).await;
+    let harness = start_front(first, None).await;
+    let response = harness.send(request(&harness, Kind::StreamOnce)).await;
+    let read = tokio::time::timeout(Duration::from_secs(8), read(response)).await;
+    let (text, is_complete) = read.expect("the answer does not end");
+    assert!(is_complete, "{text}");
+    assert_eq!(text, format!("{EVENTS_1}: ka\n\n{EVENTS_2}"));
+}
