Count a connection as in use while its answer is being written

What callers saw: an answer that they read slowly was cut after the idle time and 5 s (4 MB, read after 7.5 s: unexpected end), after the header timeout if they had sent the next request, and reset in a stop if writing took more than 250 ms.

Cause: a request counts as open until its answer is handed to hyper, not until it is written. A connection whose socket is full counted as idle, and a pipelined request behind it as a head that does not arrive.

Change: the socket notes when a write has to wait for the caller. Until it goes on, neither idle time nor head timeout runs; a caller that reads nothing for 30 s is dropped. The connection is not chosen when too many are open.

Ruled out: keeping the request open until the body is dropped, which hyper does before the last bytes are written.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -60,6 +60,10 @@
 /// Time for the first request of a connection over the limit, and for its refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a caller may read nothing of an answer that is being written. Nothing else ends the
+/// connection of a caller that is gone and whose VM does not answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -77,6 +81,8 @@
     idle_since: Instant,
     /// When the first bytes of a head arrived that is not complete.
     head_since: Option<Instant>,
+    /// Since when bytes of an answer wait for the caller to read.
+    blocked_since: Option<Instant>,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
     /// Whether the connection is closed because it is idle, rather than after an answer.
@@ -86,16 +92,24 @@
 }
 
 impl ActivityState {
+    /// Whether nothing runs, arrives or is being written.
+    fn is_idle(&self) -> bool {
+        self.running_requests == 0 && self.head_since.is_none() && self.blocked_since.is_none()
+    }
+
     /// Returns when the connection is to be closed if nothing more happens; `None` if a request
     /// runs.
     fn deadline(&self) -> Option<Instant> {
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
         let head_timeout = Duration::from_millis(self.limits.header_timeout_ms);
-        match self.head_since {
+        match (self.blocked_since, self.head_since) {
             _ if self.running_requests > 0 => None,
-            Some(since) => Some(since + head_timeout),
-            None if self.had_request || self.is_closing => Some(self.idle_since + idle_timeout),
-            None => Some(self.idle_since + idle_timeout.max(head_timeout)),
+            (Some(since), _) => Some(since + WRITE_TIMEOUT),
+            (None, Some(since)) => Some(since + head_timeout),
+            (None, None) if self.had_request || self.is_closing => {
+                Some(self.idle_since + idle_timeout)
+            }
+            (None, None) => Some(self.idle_since + idle_timeout.max(head_timeout)),
         }
     }
 }
@@ -104,7 +118,7 @@
 enum Expiry {
     Keep(Instant),
     CloseIdle,
-    /// The head of a request took too long.
+    /// The head of a request, or the caller's reading of an answer, took too long.
     Drop,
 }
 
@@ -116,6 +130,7 @@
             had_request: false,
             idle_since,
             head_since: None,
+            blocked_since: None,
             limits,
             is_closed_idle: false,
             is_closing: false,
@@ -127,11 +142,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns when the connection became idle; `None` if a request runs or is arriving.
+    /// Returns when the connection became idle; `None` if a request runs or is arriving, or if its
+    /// answer is being written.
     pub fn idle_since(&self) -> Option<Instant> {
         let state = self.state();
-        let is_idle = state.running_requests == 0 && state.head_since.is_none();
-        is_idle.then_some(state.idle_since)
+        state.is_idle().then_some(state.idle_since)
     }
 
     /// Closes the connection if it is still idle.
@@ -146,6 +161,16 @@
         }
     }
 
+    /// Records whether a write has to wait until the caller reads.
+    fn wrote(&self, result: &Poll<io::Result<usize>>) {
+        let mut state = self.state();
+        if result.is_pending() {
+            state.blocked_since.get_or_insert_with(Instant::now);
+        } else if state.blocked_since.take().is_some() {
+            state.idle_since = Instant::now();
+        }
+    }
+
     /// Closes the connection once nothing arrives any more. A head that is arriving, and a request
     /// that a new connection is about to bring, still get an answer.
     fn close(&self) {
@@ -166,11 +191,10 @@
         }
         let now = Instant::now();
         let deadline = state.deadline().unwrap_or(now + RUNNING_CHECK_INTERVAL);
-        match state.head_since {
-            _ if deadline > now => Expiry::Keep(deadline),
-            Some(_) => Expiry::Drop,
-            None => Expiry::CloseIdle,
+        if deadline > now {
+            return Expiry::Keep(deadline);
         }
+        if state.is_idle() { Expiry::CloseIdle } else { Expiry::Drop }
     }
 }
 
@@ -259,7 +283,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.activity.wrote(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -289,7 +315,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.activity.wrote(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
