Release the lock on open requests before they are logged

Found in the review, by reading: the guard in the head of the loop lived for the whole loop, so a request that ended meanwhile waited for the log lines. No deadlock was seen. No change of behaviour; covered by logged_ends.

--- a/crates/relay/src/open_requests.rs
+++ b/crates/relay/src/open_requests.rs
@@ -59,7 +59,8 @@
 
     /// Logs each request that is open at the end of the grace period, and removes it.
     pub fn log_cut(&self, hub: &Hub) {
-        for request in std::mem::take(&mut *self.lock()).into_values() {
+        let cut = std::mem::take(&mut *self.lock());
+        for request in cut.into_values() {
             request.log_end(hub, "request_cut", "request is cut by the end of the grace period");
         }
     }
