Keep a stream's first attempt when another one beside it is refused

Callers of a stream that may be resumed got 502 when it had no event yet, its group was taken for lost and no other endpoint took the request, although its endpoint went on a second later.

Cause: StreamReader::on_refusal ended the open attempts and the request when all of them were at groups taken for lost. A group is taken for lost on silence too, and a sound endpoint may be silent for seconds.

Change: a refusal ends the request only if no attempt is open. The open attempt goes on until its endpoint breaks it off, the caller leaves or the deadline passes. Counts of possible runs are not touched by a refusal, as before.

Ruled out: with all slots taken, a second attempt waits in the queue and is not refused, so that case alone did not show the fault.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -245,6 +245,8 @@
     fn silent_at(&self) -> Option<Instant> {
         let newest = self.upstreams.last().filter(|upstream| upstream.is_placed())?;
         let timeout = match self.has_events {
+            // Another one was refused beside it, whether it was silent or its group lost.
+            _ if newest.is_superseded => Duration::ZERO,
             true => EVENT_TIMEOUT,
             false => FIRST_EVENT_TIMEOUT,
         };
@@ -349,12 +351,7 @@
 
     fn on_refusal(&mut self, index: usize, refusal: Refusal) -> Result<(), StreamError> {
         self.upstreams.remove(index);
-        // Of a group that is lost, an answer without an event is unlikely to begin: the caller
-        // does better to ask again.
-        let is_hopeless =
-            !self.has_events && self.upstreams.iter().all(|upstream| upstream.is_group_lost);
-        if self.upstreams.is_empty() || is_hopeless {
-            self.end_all(AttemptOutcome::Broken);
+        if self.upstreams.is_empty() {
             return Err(StreamError::Refused(refusal));
         }
         self.retry_at = Some(Instant::now() + EVENT_TIMEOUT);
