Refuse requests over the connection limit instead of dropping them

A caller whose connection came over limits.max_connections while all others ran requests got a reset: neither an answer nor a refusal, for a request that was sent whole. The own interface closed such a connection before it had read anything, because the protocol and the key, which decide how a refusal reads, were not known yet.

Now an eighth more connections than the limit may be open to be read and refused. What arrives first on them, within 0.5 s, gets `overloaded` (429) with Retry-After: outcome `not_run`, or `unknown` with an Idempotency-Key, since an earlier request with the key may have run. The connection then closes (Connection: close, GOAWAY on HTTP/2) and is cut 2.5 s after it began at the latest. Further connections are dropped as before. The metric balsam_serve_connections_refused_total has a label `action` with `refused` and `dropped`. A shutdown waits for the refusals too.

Ruled out: an answer before the request is read, since neither the protocol nor the outcome is known then.

--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -38,6 +38,15 @@
 /// How long to wait for the slot of a connection that was asked to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Part of the maximum number of connections up to which further ones are refused with an answer.
+const REFUSED_CONNECTIONS_DIVISOR: usize = 8;
+
+/// Time for the head of the first request of a connection over the limit.
+const REFUSAL_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for the refusals on a connection over the limit, and for its close.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Maximum unread bytes of one HTTP/2 stream. Bodies are small, so a larger window has no benefit.
 const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
 
@@ -46,13 +55,8 @@
 const CONNECTION_WINDOW_BYTES: u32 = 128 * 1024;
 
 /// Accepts connections until the shutdown starts, including those that are in the accept queue
-/// then, which a close of the listener would reset; `respond` handles each request.
-pub(crate) async fn accept<H, F>(shared: Arc<Shared>, listener: TcpListener, respond: H)
-where
-    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
-    let tree = Arc::new(Tree::from(router(respond)));
+/// then, which a close of the listener would reset.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener, routers: Routers) {
     let _accepting = AcceptGuard::new(shared.clone());
     let mut stopping = shared.stopping.subscribe();
     loop {
@@ -61,7 +65,7 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, peer)) => start(&shared, &tree, stream, peer).await,
+            Ok((stream, peer)) => start(&shared, &routers, stream, peer).await,
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
@@ -70,11 +74,24 @@
     while let Ok((stream, peer)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         if let Ok(stream) = stream {
-            start(&shared, &tree, stream, peer).await;
+            start(&shared, &routers, stream, peer).await;
         }
     }
 }
 
+/// What handles the requests of connections.
+pub(crate) struct Routers {
+    /// Handles those of connections within the limit.
+    pub serving: Arc<Tree>,
+    /// Refuses those of connections over the limit.
+    pub refusing: Arc<Tree>,
+}
+
+/// Returns how many connections over the limit may be open to be refused.
+pub(crate) fn max_refused_connections(max_connections: usize) -> usize {
+    max_connections / REFUSED_CONNECTIONS_DIVISOR + 1
+}
+
 /// Counts one accept loop until it is dropped.
 struct AcceptGuard(Arc<Shared>);
 
@@ -91,26 +108,44 @@
     }
 }
 
-/// Serves a connection in its own task.
-async fn start(shared: &Arc<Shared>, tree: &Arc<Tree>, stream: TcpStream, peer: SocketAddr) {
-    let Some(permit) = acquire_slot(shared).await else {
-        // Closing at once bounds the memory and lets the load balancer use another node. An answer
-        // needs the request to be read: its protocol and its key, which decides the outcome, are
-        // not known before.
-        shared.metrics.connections_refused.add(1, &[]);
+/// Serves a connection in its own task, or refuses its requests if there are too many.
+async fn start(shared: &Arc<Shared>, routers: &Routers, stream: TcpStream, peer: SocketAddr) {
+    if let Some(permit) = acquire_slot(shared).await {
+        let (shared, tree) = (shared.clone(), routers.serving.clone());
+        tokio::spawn(async move {
+            let _permit = permit;
+            let registry = shared.clone();
+            let activity = Arc::new(Activity::new(false));
+            let number = shared.open_connections.add(activity.clone());
+            serve(shared, tree, stream, peer, activity).await;
+            registry.open_connections.remove(number);
+        });
         return;
+    }
+    // Closing the others at once bounds the memory and lets the load balancer use another node.
+    let Ok(permit) = shared.refusal_slots.clone().try_acquire_owned() else {
+        return shared.metrics.connection_refused("dropped");
     };
-    let shared = shared.clone();
-    let tree = tree.clone();
+    shared.metrics.connection_refused("refused");
+    let (shared, tree) = (shared.clone(), routers.refusing.clone());
     tokio::spawn(async move {
         let _permit = permit;
-        let registry = shared.clone();
-        let (number, activity) = Activity::start(&shared.open_connections);
-        serve(shared, tree, stream, peer, activity).await;
-        registry.open_connections.remove(number);
+        refuse(shared, tree, stream, peer).await;
     });
 }
 
+/// Serves a connection over the limit until its first requests are refused. They have to be read:
+/// the protocol of the answer and the key, which decides the outcome, are not known before.
+async fn refuse(shared: Arc<Shared>, tree: Arc<Tree>, stream: TcpStream, peer: SocketAddr) {
+    let activity = Arc::new(Activity::new(true));
+    let mut serving = std::pin::pin!(serve(shared, tree, stream, peer, activity.clone()));
+    if tokio::time::timeout(REFUSAL_HEAD_TIMEOUT, serving.as_mut()).await.is_err()
+        && activity.had_request.load(Ordering::Relaxed)
+    {
+        let _ = tokio::time::timeout(REFUSAL_TIMEOUT, serving).await;
+    }
+}
+
 /// Acquires a slot for a connection. If none is free, closes the oldest connection without a
 /// running request, so that callers that open connections and send nothing cannot lock others out.
 async fn acquire_slot(shared: &Shared) -> Option<OwnedSemaphorePermit> {
@@ -124,7 +159,8 @@
     slot.await.ok()?.ok()
 }
 
-fn router<H, F>(respond: H) -> Router
+/// Returns a router that passes each request to `respond`.
+pub(crate) fn router<H, F>(respond: H) -> Arc<Tree>
 where
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
@@ -133,7 +169,7 @@
         let response = respond(request);
         async move { Ok::<_, viz::Error>(response.await) }
     };
-    Router::new().any("/", handler.clone()).any("/*", handler)
+    Arc::new(Tree::from(Router::new().any("/", handler.clone()).any("/*", handler)))
 }
 
 async fn serve(
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -1,5 +1,6 @@
 //! The callers' interface: accepting requests, the steps of handling one, and the shutdown.
 
+use std::future::ready;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -60,6 +61,11 @@
 /// How long the answers that are given at the limit of the shutdown may take to be sent.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
+/// The route in metrics of a request that has none.
+const NO_ROUTE: &str = "none";
+
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// The callers' interface of an entry node.
 #[derive(Clone)]
 pub struct Front {
@@ -89,6 +95,9 @@
             accept_loops: watch::Sender::new(0),
             lingering: Arc::new(Semaphore::new(linger::MAX_LINGERING as usize)),
             connection_slots: Arc::new(Semaphore::new(options.max_connections)),
+            refusal_slots: Arc::new(Semaphore::new(conn::max_refused_connections(
+                options.max_connections,
+            ))),
             open_connections: OpenConnections::default(),
             body_memory: BodyMemory::new(options.max_body_bytes_total),
             request_counter: Arc::default(),
@@ -108,9 +117,12 @@
                 shared.client.close_expired();
             }
         });
-        let shared = self.shared.clone();
-        let respond = move |request| handle(shared.clone(), request);
-        conn::accept(self.shared.clone(), listener, respond).await;
+        let (serving, refusing) = (self.shared.clone(), self.shared.clone());
+        let routers = conn::Routers {
+            serving: conn::router(move |request| handle(serving.clone(), request)),
+            refusing: conn::router(move |request| ready(refuse(&refusing, &request))),
+        };
+        conn::accept(self.shared.clone(), listener, routers).await;
         close_expired_task.abort();
     }
 
@@ -176,9 +188,14 @@
                 changed.await;
             }
             // The last bytes of an answer may be unsent until its connection has closed.
-            let slot_count = self.shared.options.max_connections;
-            let slot_count = u32::try_from(slot_count).unwrap_or(u32::MAX);
-            let _ = self.shared.connection_slots.acquire_many(slot_count).await;
+            let max_connections = self.shared.options.max_connections;
+            let max_refused = conn::max_refused_connections(max_connections);
+            for (slots, count) in [
+                (&self.shared.connection_slots, max_connections),
+                (&self.shared.refusal_slots, max_refused),
+            ] {
+                let _ = slots.acquire_many(u32::try_from(count).unwrap_or(u32::MAX)).await;
+            }
             // The end of the process resets a socket that is still read.
             let _ = self.shared.lingering.acquire_many(linger::MAX_LINGERING).await;
         };
@@ -200,7 +217,7 @@
     let open = shared.open_request();
     let request_id = caller::request_id(request.headers());
     let is_http1 = request.version() <= Version::HTTP_11;
-    let mut route = Arc::from("none");
+    let mut route = Arc::from(NO_ROUTE);
     let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
     let is_stopping = *shared.stopping.borrow();
     let dispatched = Dispatched::default();
@@ -217,18 +234,35 @@
             }
         },
     };
-    let mut response = result.unwrap_or_else(|failure| {
-        shared.metrics.request(&route, failure.outcome);
-        shared.metrics.problem(failure.problem);
-        respond::problem(&failure)
-    });
+    let mut response = result.unwrap_or_else(|failure| fail(&shared, &route, &failure));
     response.headers_mut().insert(caller::REQUEST_ID, request_id);
     if is_http1 && *shared.stopping.borrow() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
+    }
+    response
+}
+
+/// Refuses a request by its head, because its connection is over the limit.
+fn refuse(shared: &Shared, request: &Request) -> Response {
+    let failure = not_run(ProblemKind::Overloaded, "the entry node has too many connections");
+    let has_key = request.headers().contains_key(caller::IDEMPOTENCY_KEY);
+    let failure = if has_key { with_unknown_outcome(failure) } else { failure };
+    let mut response = fail(shared, NO_ROUTE, &failure);
+    let request_id = caller::request_id(request.headers());
+    response.headers_mut().insert(caller::REQUEST_ID, request_id);
+    if request.version() <= Version::HTTP_11 {
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
     }
     response
 }
 
+/// Counts a failure and turns it into a response.
+fn fail(shared: &Shared, route: &str, failure: &AttemptFailure) -> Response {
+    shared.metrics.request(route, failure.outcome);
+    shared.metrics.problem(failure.problem);
+    respond::problem(failure)
+}
+
 /// Returns the failure of a request that arrived after the shutdown began or has no answer at its
 /// limit.
 fn stopping_failure(has_key: bool, dispatched: &Dispatched) -> AttemptFailure {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -19,7 +19,7 @@
     pub silent_connections: Counter<u64>,
     pub replays: Counter<u64>,
     pub cancelled: Counter<u64>,
-    pub connections_refused: Counter<u64>,
+    connections_refused: Counter<u64>,
     pub unrecorded_answers: Counter<u64>,
     pub first_byte_ms: Histogram<f64>,
     pub event_gap_ms: Histogram<f64>,
@@ -59,6 +59,11 @@
         self.compared.add(1, &labels);
     }
 
+    /// Counts a connection over the limit by what becomes of it.
+    pub fn connection_refused(&self, action: &'static str) {
+        self.connections_refused.add(1, &[KeyValue::new("action", action)]);
+    }
+
     /// Counts a problem by its type.
     pub fn problem(&self, kind: ProblemKind) {
         self.problems.add(1, &[KeyValue::new("type", kind.slug())]);
--- a/crates/serve/src/open_connections.rs
+++ b/crates/serve/src/open_connections.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Activity {
     pub close: Notify,
     pub had_request: AtomicBool,
+    /// Whether the first request asks for the close of the connection.
+    closes_after_request: bool,
     pub running_requests: AtomicUsize,
     idle_since_ms: AtomicUsize,
     pub started: Instant,
@@ -37,6 +39,9 @@
     pub fn new(activity: Arc<Activity>) -> Self {
         activity.had_request.store(true, Ordering::Relaxed);
         activity.running_requests.fetch_add(1, Ordering::Relaxed);
+        if activity.closes_after_request {
+            activity.close.notify_one();
+        }
         Self(activity)
     }
 }
@@ -50,16 +55,15 @@
 }
 
 impl Activity {
-    /// Registers a new open connection.
-    pub fn start(connections: &OpenConnections<Self>) -> (u64, Arc<Self>) {
-        let activity = Arc::new(Activity {
+    pub fn new(closes_after_request: bool) -> Self {
+        Self {
             close: Notify::new(),
             had_request: AtomicBool::new(false),
+            closes_after_request,
             running_requests: AtomicUsize::new(0),
             idle_since_ms: AtomicUsize::new(0),
             started: Instant::now(),
-        });
-        (connections.add(activity.clone()), activity)
+        }
     }
 
     /// Returns the time since the last request ended; zero while one is running.
--- a/crates/serve/src/options.rs
+++ b/crates/serve/src/options.rs
@@ -7,7 +7,8 @@
 #[derive(Debug, Clone)]
 pub struct ServeOptions {
     /// Maximum number of open connections from callers. Above it, the oldest connection without a
-    /// running request is closed for a new one; if all run requests, the new one is closed.
+    /// running request is closed for a new one; if all run requests, those of the new one are
+    /// refused. An eighth more may be open for that; further ones are closed.
     pub max_connections: usize,
     /// Maximum number of concurrent requests on one HTTP/2 connection.
     pub max_streams_per_connection: u32,
--- a/crates/serve/src/shared.rs
+++ b/crates/serve/src/shared.rs
@@ -38,6 +38,8 @@
     /// The number of loops that accept connections.
     pub accept_loops: watch::Sender<usize>,
     pub connection_slots: Arc<Semaphore>,
+    /// For connections over the limit that are open to be refused.
+    pub refusal_slots: Arc<Semaphore>,
     /// For sockets that are read on after the close.
     pub lingering: Arc<Semaphore>,
     pub body_memory: BodyMemory,
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod compare;
 mod early_refusals;
+mod full_node;
 mod keyed;
 mod late_requests;
 mod limits;
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -139,7 +139,7 @@
         "connections",
         4_096,
         1..=1_000_000,
-        "Most open connections from callers.",
+        "Most open connections from callers; up to an eighth more are refused with an answer.",
     ),
     number("limits.max_header_bytes", "bytes", 32_768, 8_192..=1_048_576, "Largest request head."),
     number(
