Count the open attempts of a plain request, not their order

A caller of a plain request that may be repeated lost its connection without an answer: the first attempt was late, the second could not connect, its retry was refused, and then the first endpoint crashed.

Cause: plain::Attempts took every attempt older than the newest one for counted as a possible run, and took a count back for each refused attempt. A retry after an attempt that was not sent had added no count, so the count of the first attempt was taken back. Its end then subtracted below zero: a panic where overflow is checked, and in a release build a count of no possible run. With more attempts allowed, the same step lets a request run once more than max_attempts.

Change: attempts that have ended are counted by how they ended, and the open ones that were placed are a number of their own. A refusal changes neither. Another attempt follows a failed one if no newer one is open.

The path tests of silent endpoints, scenarios and shutdown pass.

Ruled out: streams count each attempt by its own flag and are not affected. The run beyond max_attempts and the count in a release build are by reading, not by a test.

Conclusion: what an attempt counts for no longer depends on the number of those after it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -128,11 +128,6 @@
         self.may_have_run + self.turned_away > 0
     }
 
-    /// Whether the route and the deadline allow another attempt.
-    pub fn allows_retry(&self, request: &Request) -> bool {
-        self.allows_retry_beside(request, 0)
-    }
-
     /// Whether the route and the deadline allow another attempt beside some that are still running
     /// and were not counted yet.
     pub fn allows_retry_beside(&self, request: &Request, running: u32) -> bool {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,5 +1,6 @@
 //! Requests whose answer is a single body.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -53,7 +54,9 @@
         open: FuturesUnordered::new(),
         tried: Vec::new(),
         counts: AttemptCounts::default(),
-        newest: 0,
+        last_number: 0,
+        unfinished: BTreeSet::new(),
+        running: 0,
         error_answer: None,
     };
     attempts.start(false);
@@ -75,24 +78,24 @@
                     shared.hub.metrics.repeat("late");
                 }
                 attempts.tried.push(placement.target.vm.clone());
+                attempts.running += 1;
                 late_at = attempts.allows_another().then(|| Instant::now() + target);
                 attempts.open.push(run_attempt(shared, request, number, placement).boxed());
             }
-            Step::Refused(refusal) => {
+            Step::Refused { number, refusal } => {
+                attempts.unfinished.remove(&number);
                 if attempts.open.is_empty() {
                     shared.log_refusal(request, &refusal);
                     return attempts.give_up(refusal.retry_after_ms);
                 }
-                attempts.take_back_newest();
                 late_at = Some(Instant::now() + target);
             }
             Step::Answered { answer, .. } if !answer.status.is_server_error() => {
                 return Ok(caller_response(answer));
             }
             Step::Answered { number, answer } => {
-                if !attempts.is_counted(number) {
-                    attempts.counts.count_possible_run();
-                }
+                attempts.end(number);
+                attempts.counts.count_possible_run();
                 attempts.error_answer = Some(answer);
                 if !attempts.continue_after(number, None) {
                     return attempts.give_up(0);
@@ -100,10 +103,8 @@
             }
             Step::Failed { number, vm, failure } => {
                 shared.log_attempt_failure(request, Some(&vm), &failure, false);
-                match attempts.is_counted(number) {
-                    true => attempts.counts.count_counted_failure(&failure),
-                    false => attempts.counts.count_failure(&failure),
-                }
+                attempts.end(number);
+                attempts.counts.count_failure(&failure);
                 if !attempts.continue_after(number, Some(&failure)) {
                     return attempts.give_up(shared.options.turned_away_retry_after_ms);
                 }
@@ -115,7 +116,7 @@
 /// What one attempt has reached.
 enum Step {
     Placed { number: u32, placement: Placement },
-    Refused(Refusal),
+    Refused { number: u32, refusal: Refusal },
     Answered { number: u32, answer: EndpointAnswer },
     Failed { number: u32, vm: VmName, failure: AttemptFailure },
 }
@@ -126,56 +127,56 @@
     request: &'a Request,
     open: FuturesUnordered<BoxFuture<'a, Step>>,
     tried: Vec<VmName>,
+    /// The attempts that have ended.
     counts: AttemptCounts,
-    /// The number of the newest attempt; the older ones are counted.
-    newest: u32,
+    last_number: u32,
+    /// The numbers of the open attempts.
+    unfinished: BTreeSet<u32>,
+    /// Number of open attempts that were assigned to an endpoint, which may run each of them.
+    running: u32,
     error_answer: Option<EndpointAnswer>,
 }
 
 impl<'a> Attempts<'a> {
     fn start(&mut self, is_optional: bool) {
-        self.newest += 1;
-        let number = self.newest;
-        let is_retry = self.counts.has_reached_endpoint();
+        self.last_number += 1;
+        let number = self.last_number;
+        self.unfinished.insert(number);
+        let is_retry = self.running > 0 || self.counts.has_reached_endpoint();
         let arrival = Arrival { is_optional, ..self.request.arrival(&self.tried, is_retry, false) };
         let shared: &'a Shared = self.shared;
         let placing = async move {
             match shared.hub.place(arrival).await {
                 Ok(placement) => Step::Placed { number, placement },
-                Err(refusal) => Step::Refused(refusal),
+                Err(refusal) => Step::Refused { number, refusal },
             }
         };
         self.open.push(placing.boxed());
     }
 
-    /// Whether an attempt was counted as a possible run when a newer one started beside it.
-    fn is_counted(&self, number: u32) -> bool {
-        number < self.newest
+    /// Ends an attempt that was assigned to an endpoint.
+    fn end(&mut self, number: u32) {
+        self.unfinished.remove(&number);
+        self.running -= 1;
     }
 
-    /// Whether another attempt is allowed beside the newest one.
+    /// Whether another attempt is allowed beside the open ones.
     fn allows_another(&self) -> bool {
-        self.counts.allows_retry_beside(self.request, 1)
+        self.counts.allows_retry_beside(self.request, self.running)
     }
 
     /// Starts another attempt beside the newest one, whose answer is late.
     fn start_beside_newest(&mut self) {
         if self.allows_another() {
-            self.counts.count_possible_run();
             self.start(true);
         }
     }
 
-    /// Forgets the newest attempt, which was refused beside another one.
-    fn take_back_newest(&mut self) {
-        self.newest -= 1;
-        self.counts.uncount_possible_run();
-    }
-
-    /// Starts another attempt if the newest one has failed and the route allows it; returns whether
-    /// an attempt is open.
+    /// Starts another attempt after one that failed, if no newer one is open and the route allows it;
+    /// returns whether an attempt is open.
     fn continue_after(&mut self, number: u32, failure: Option<&AttemptFailure>) -> bool {
-        if number == self.newest && self.counts.allows_retry(self.request) {
+        let is_newest = self.unfinished.last().is_none_or(|newest| *newest < number);
+        if is_newest && self.allows_another() {
             if let Some(failure) = failure {
                 self.shared.hub.metrics.repeat(failure.as_str());
             }
