Let a silent stream go on when a second attempt gets an error

Callers of a stream without an event got the 500 of a second endpoint while the first one, which had been silent for 2 s, went on and would have answered.

Cause: StreamReader::on_other_answer ended all open attempts with the first error answer if no further attempt was allowed. It also started another attempt beside a newer one that was open.

Change: an error of a server is kept, as plain requests do, and the open attempts go on. The caller gets it if no attempt delivers an event: when the others end, when a retry is refused, or at the deadline. Failed attempts and error answers now decide on another attempt in the same place. Other answers still end the request at once.

Ruled out: after the first event, an error beside another open attempt ended nothing before either.

Conclusion: an error of one endpoint ends only its own attempt.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -75,6 +75,8 @@
     forwarded: Forwarded,
     /// The content type of the answer whose events were forwarded first.
     content_type: Option<HeaderValue>,
+    /// The newest error answer of an endpoint, which the caller gets if no attempt delivers an event.
+    error_answer: Option<Box<EndpointAnswer>>,
     /// After a refusal, the time before which no further attempt starts beside a silent one.
     retry_at: Option<Instant>,
     waited_ms: u64,
@@ -131,6 +133,7 @@
         has_events: false,
         forwarded: Forwarded::Nothing,
         content_type: None,
+        error_answer: None,
         retry_at: None,
         waited_ms: 0,
         read_timer: ReusableTimeout::default(),
@@ -266,7 +269,7 @@
             let polled = poll_fn(|cx| poll_any(upstreams, cx));
             let Some((index, progress)) = self.read_timer.wait(polled, limit).await else {
                 if self.request.left_ms() == 0 {
-                    return Err(StreamError::Failed(RequestFailure::TimedOut));
+                    return Err(self.end(StreamError::Failed(RequestFailure::TimedOut)));
                 }
                 if self.silent_at().is_some_and(|at| Instant::now() >= at) {
                     self.try_elsewhere("silent");
@@ -323,6 +326,7 @@
     /// Ends the other attempts, as this one has delivered events.
     fn deliver(&mut self, index: usize, events: Bytes) -> Part {
         if !self.has_events {
+            self.error_answer = None;
             let head = self.upstreams[index].head.as_ref();
             self.content_type = head.and_then(|head| head.get(header::CONTENT_TYPE).cloned());
         }
@@ -352,7 +356,7 @@
     fn on_refusal(&mut self, index: usize, refusal: Refusal) -> Result<(), StreamError> {
         self.upstreams.remove(index);
         if self.upstreams.is_empty() {
-            return Err(StreamError::Refused(refusal));
+            return Err(self.end(StreamError::Refused(refusal)));
         }
         self.retry_at = Some(Instant::now() + EVENT_TIMEOUT);
         Ok(())
@@ -373,6 +377,11 @@
             true => self.counts.count_counted_failure(&failure),
             false => self.counts.count_failure(&failure),
         }
+        self.continue_after(&failure)
+    }
+
+    /// Starts another attempt after one that has ended, if no other is active and the route allows it.
+    fn continue_after(&mut self, failure: &AttemptFailure) -> Result<(), StreamError> {
         let is_another_active = self.upstreams.iter().any(|upstream| !upstream.is_superseded);
         if is_another_active {
             return Ok(());
@@ -385,12 +394,19 @@
         if !self.upstreams.is_empty() {
             return Ok(());
         }
-        Err(StreamError::Failed(match self.counts.may_have_run() {
+        let failure = StreamError::Failed(match self.counts.may_have_run() {
             true => RequestFailure::MayHaveRun,
             false => RequestFailure::NotRun {
                 retry_after_ms: self.shared.options.turned_away_retry_after_ms,
             },
-        }))
+        });
+        Err(self.end(failure))
+    }
+
+    /// Returns how the request ends without another event. An endpoint's error answer is more
+    /// informative than the lack of another endpoint.
+    fn end(&mut self, failure: StreamError) -> StreamError {
+        self.error_answer.take().map_or(failure, StreamError::Answer)
     }
 
     /// Handles a whole answer that is not a stream.
@@ -399,24 +415,18 @@
         if !upstream.is_superseded {
             self.counts.count_possible_run();
         }
-        if (answer.status.is_server_error() || self.has_events) && self.may_try_elsewhere() {
-            let failure =
-                AttemptFailure::Broken(format!("the endpoint answered {}", answer.status));
-            self.shared.log_attempt_failure(&self.request, upstream.vm(), &failure, false);
-            self.shared.hub.metrics.repeat(failure.as_str());
+        if !self.has_events && !answer.status.is_server_error() {
             upstream.complete(AttemptOutcome::Failed);
-            self.start_attempt();
-            return Ok(());
+            self.end_all(AttemptOutcome::Broken);
+            return Err(StreamError::Answer(Box::new(answer)));
         }
+        let failure = AttemptFailure::Broken(format!("the endpoint answered {}", answer.status));
+        self.shared.log_attempt_failure(&self.request, upstream.vm(), &failure, false);
         upstream.complete(AttemptOutcome::Failed);
-        match (self.has_events, self.upstreams.is_empty()) {
-            (true, false) => Ok(()),
-            (true, true) => Err(StreamError::Failed(RequestFailure::MayHaveRun)),
-            (false, _) => {
-                self.end_all(AttemptOutcome::Broken);
-                Err(StreamError::Answer(Box::new(answer)))
-            }
+        if !self.has_events {
+            self.error_answer = Some(Box::new(answer));
         }
+        self.continue_after(&failure)
     }
 
     /// Takes the complete events of an attempt that the caller does not have yet.
