Empty the accept queue past failing accept calls at the close

Callers whose connections waited in the accept queue at a shutdown were reset if the accept call failed once for any reason: an aborted connection before theirs, or no descriptor free at that moment. Both interfaces ended the draining at the first error other than an empty queue and closed the listener; the own one did not even log it.

balsam_http::accept_queue now does this for both. ECONNABORTED and EINTR go on at once; every other error, such as EMFILE or an error of one connection, is followed by another accept call 10 ms later, for 2 s after the first one in all. Idle connections, which close 0.25 s (relay) or 0.5 s (own interface) after the beginning, free descriptors meanwhile. What still fails then is logged by both.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,12 +1,15 @@
 //! HTTP code shared by both request paths: connections to endpoints and of callers, splitting of event streams and
 //! timeouts. See `docs/design.md`, section 6.
 
+pub mod accept_queue;
 pub mod client;
 pub mod headers;
 pub mod open_connections;
 pub mod reusable_timeout;
 pub mod sse;
 
+pub use accept_queue::AcceptQueue;
+pub use accept_queue::accept_queue;
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::Conn;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,6 +16,7 @@
 use balsam_http::Client;
 use balsam_http::ClientOptions;
 use balsam_http::OpenConnections;
+use balsam_http::accept_queue;
 use balsam_types::VmName;
 use http::HeaderValue;
 use http::Response;
@@ -172,26 +173,19 @@
                 }
             }
         }
-        if let Err(error) = self.accept_queue(listener) {
+        if let Err(error) = self.accept_waiting(listener).await {
             warn!(self.shared.hub.log, "accepting the last connections failed";
                 "kind" => "accept", "error" => %error);
         }
     }
 
-    /// Accepts the connections in the queue of a listener, which would reset them when it closes.
-    fn accept_queue(&self, listener: TcpListener) -> io::Result<()> {
-        // tokio may not know yet that there are connections.
-        let listener = listener.into_std()?;
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    self.accept(TcpStream::from_std(stream)?);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) => return Err(error),
-            }
+    /// Accepts the connections in the queue of a listener, then closes it.
+    async fn accept_waiting(&self, listener: TcpListener) -> io::Result<()> {
+        let mut queue = accept_queue(listener)?;
+        while let Some((stream, _)) = queue.next().await? {
+            self.accept(stream);
         }
+        Ok(())
     }
 
     fn accept(&self, stream: TcpStream) {
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -3,11 +3,13 @@
 //! viz routes and answers requests, but its server is not used, because that server's shutdown
 //! timeout is fixed at 10 s.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use balsam_http::accept_queue;
 use hyper::service::Service;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -69,14 +71,22 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    // tokio's listener may report an empty queue before it has been notified of a connection.
-    let Ok(listener) = listener.into_std() else { return };
-    while let Ok((stream, peer)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-        if let Ok(stream) = stream {
-            start(&shared, &routers, stream, peer).await;
-        }
+    if let Err(error) = accept_waiting(&shared, listener, &routers).await {
+        slog::warn!(shared.log, "accepting the last connections failed"; "error" => %error);
+    }
+}
+
+/// Accepts the connections in the queue of a listener, then closes it.
+async fn accept_waiting(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    routers: &Routers,
+) -> io::Result<()> {
+    let mut queue = accept_queue(listener)?;
+    while let Some((stream, peer)) = queue.next().await? {
+        start(shared, routers, stream, peer).await;
     }
+    Ok(())
 }
 
 /// What handles the requests of connections.
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -10,6 +10,7 @@
 mod late_requests;
 mod limits;
 mod repeated_refusals;
+mod scarce_descriptors;
 mod shutdown;
 mod shutdown_limit;
 mod silent_endpoints;
