Keep a stopping node until its accept queue is empty and answered

A caller whose connection lay in the accept queue when a node closed, while no other connection was open, could lose its request to the end of the process: the shutdown counted open connections before the accept loop had run, found none and ended 50 ms later.

The front counts its accept loops, and the shutdown waits until they have ended too (Front::is_closed), at most to the limit of the grace period as before.

The own interface waits for its accept loops already (Front::shutdown).

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -99,6 +99,7 @@
     closing: watch::Sender<Option<Instant>>,
     open: Arc<OpenRequests>,
     connections: AtomicU64,
+    accept_loops: AtomicUsize,
     pub open_connections: OpenConnections<Activity>,
     /// Total size of the answers that are being buffered.
     pub buffered_bytes: AtomicUsize,
@@ -134,6 +135,7 @@
             closing: watch::Sender::new(None),
             open: Arc::default(),
             connections: AtomicU64::new(0),
+            accept_loops: AtomicUsize::new(0),
             open_connections: OpenConnections::default(),
             buffered_bytes: AtomicUsize::new(0),
             was_ready: AtomicBool::new(false),
@@ -153,6 +155,7 @@
 
     /// Accepts connections until [`Front::close`].
     pub async fn serve(&self, listener: TcpListener) {
+        let _accepting = AcceptGuard::new(self.shared.clone());
         let mut close = pin!(self.shared.close_started());
         let mut close_expired_timer = tokio::time::interval(CLOSE_EXPIRED_INTERVAL);
         loop {
@@ -262,6 +265,27 @@
     pub fn connections(&self) -> u64 {
         self.shared.connections.load(Ordering::Relaxed)
     }
+
+    /// Whether each connection has closed, and none waits to be accepted, after [`Front::close`].
+    pub fn is_closed(&self) -> bool {
+        self.shared.accept_loops.load(Ordering::Relaxed) == 0 && self.connections() == 0
+    }
+}
+
+/// Counts an accept loop until dropped.
+struct AcceptGuard(Arc<Shared>);
+
+impl AcceptGuard {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.accept_loops.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for AcceptGuard {
+    fn drop(&mut self) {
+        self.0.accept_loops.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Counts a connection as open until dropped.
