Find the source of proxied connections beside closed ones

What was seen: in a trial of `links between data centres silent for 1.5 to 3.5 s`, streams over connections between nodes that had just been opened were reset as soon as a fault was set for one data centre.

Cause: the proxy of the test bed finds the data centre of a connection by its local address in /proc/net/tcp. It took the first row with this address. A closed connection to another target that had the same port is listed too, in TIME_WAIT and without a socket, so the source counted as unknown and the connection was reset.

Change: rows without a socket are passed over.

No check of the bed is weaker: a source that is still unknown is reset as before.

--- a/crates/node/tests/process/bed.rs
+++ b/crates/node/tests/process/bed.rs
@@ -474,7 +474,10 @@
     let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), from.port());
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
     let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let row = rows.into_iter().find(|row| row.get(1) == Some(&address.as_str()))?;
+    // A closed connection to another target that had the same port is listed without a socket.
+    let has_socket = |row: &Vec<&str>| row.get(9).is_some_and(|socket| *socket != "0");
+    let mut rows = rows.filter(has_socket);
+    let row = rows.find(|row| row.get(1) == Some(&address.as_str()))?;
     let socket = format!("socket:[{}]", row.get(9)?);
     let data_centre_by_process = data_centre_by_process.lock().unwrap().clone();
     let holds = |process: &u32| {
