Bound the probes that a node repeats after its own pauses

What was seen: a node that pauses again and again (a core with a quota) took every unanswered probe for one that may have been answered in its pause. It sent each again at once and counted none, so no probe ever showed that a member had died, and probes had no bound.

Cause: `probed` sends a probe again while the last pause ended less than 500 ms ago. Nothing counted the repeats, a refused probe came back at once, and several results of one endpoint each sent a probe.

Change: an endpoint's probe is repeated three times at most until it answers, at intervals of 250 ms at least, which is longer than the timeout of a probe. Then a result counts as it does without a pause: a refusal as a death, a missing answer as the beginning of a silence, which must last for 2 s in which this node runs.

Evidence: `a_node_that_pauses_again_and_again_finds_a_dead_member`, pauses of 300 and 600 ms with 100 ms of running between them.

Ruled out: a limit by running time alone. A node that runs for one event between its pauses has none, so the number of repeats must be bounded. Orders that time out in pauses are still not counted; they are sent at intervals.

The planning node of the tests can tell the endpoint of an attempt (`head_of`). No check was changed.

--- a/crates/fleet/src/losses.rs
+++ b/crates/fleet/src/losses.rs
@@ -18,6 +18,7 @@
 use crate::event::OrderAnswer;
 use crate::event::ProbeAnswer;
 use crate::formation;
+use crate::own_pauses::MissingAnswer;
 use crate::serving::RequestKind;
 use crate::serving::Server;
 use crate::state::Fleet;
@@ -55,7 +56,7 @@
 
 /// Applies the result of a probe.
 ///
-/// One that may have been answered while this node was paused is sent again.
+/// One that may have been answered while this node was paused is sent again, a few times at most.
 pub(crate) fn probed(
     fleet: &mut Fleet,
     now_ms: u64,
@@ -63,13 +64,43 @@
     answer: ProbeAnswer,
     effects: &mut Vec<Effect>,
 ) {
-    let is_alive = answer == ProbeAnswer::Alive;
-    if !is_alive && fleet.own_pauses.may_hide_answer(now_ms) {
-        if let Some(endpoint) = fleet.directory.get(vm) {
-            effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
-        }
+    if answer == ProbeAnswer::Alive {
+        fleet.own_pauses.probe_answered(vm);
+        apply_probe(fleet, now_ms, vm, answer, effects);
         return;
     }
+    match fleet.own_pauses.probe_unanswered(now_ms, vm, answer) {
+        MissingAnswer::Repeat => probe_again(fleet, vm, effects),
+        MissingAnswer::Wait => {}
+        MissingAnswer::Conclusive => apply_probe(fleet, now_ms, vm, answer, effects),
+    }
+}
+
+/// Sends probes again that may have been answered while this node was paused.
+pub(crate) fn repeat_due_probes(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
+    for (vm, answer, missing) in fleet.own_pauses.take_due_probes(now_ms) {
+        match missing {
+            MissingAnswer::Repeat => probe_again(fleet, &vm, effects),
+            MissingAnswer::Wait => {}
+            MissingAnswer::Conclusive => apply_probe(fleet, now_ms, &vm, answer, effects),
+        }
+    }
+}
+
+fn probe_again(fleet: &Fleet, vm: &VmName, effects: &mut Vec<Effect>) {
+    if let Some(endpoint) = fleet.directory.get(vm) {
+        effects.push(Effect::Probe { vm: vm.clone(), address: endpoint.address });
+    }
+}
+
+fn apply_probe(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    vm: &VmName,
+    answer: ProbeAnswer,
+    effects: &mut Vec<Effect>,
+) {
+    let is_alive = answer == ProbeAnswer::Alive;
     match fleet.directory.get(vm) {
         Some(endpoint) => fleet.planner.probed(now_ms, endpoint, answer),
         None => fleet.planner.departed_probed(now_ms, vm, is_alive),
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -493,6 +493,7 @@
     update_leadership(fleet, now_ms, effects);
     choice::refill_cold_allowances(fleet, now_ms);
     fleet.pauses.expire(now_ms);
+    losses::repeat_due_probes(fleet, now_ms, effects);
     losses::detect_silent_heads(fleet, now_ms, effects);
     enforce_quarantine(fleet, now_ms, effects);
     for kind in fleet.waiting.kinds() {
--- a/crates/fleet/tests/fleet/own_pauses.rs
+++ b/crates/fleet/tests/fleet/own_pauses.rs
@@ -13,6 +13,7 @@
 use rstest::rstest;
 
 use crate::planning_node::PlanningNode;
+use crate::planning_node::TICK_MS;
 use crate::support;
 use crate::support::vm;
 
@@ -119,3 +120,49 @@
     };
     assert!(effects.iter().any(is_logged), "{effects:?}");
 }
+
+/// Every probe of a node that pauses again and again may time out in a pause. Each was sent again at
+/// once and never counted, so a dead member was never found and probes had no bound.
+#[rstest]
+fn a_node_that_pauses_again_and_again_finds_a_dead_member(
+    #[values(false, true)] is_refused: bool,
+    #[values(300, 600)] pause_ms: u64,
+) {
+    let mut node = PlanningNode::new(vec![support::head("one", 1), support::head("two", 2)]);
+    while node.send().is_some_and(|attempt_id| node.head_of(attempt_id) != vm("one")) {}
+    node.run_with_progress(500);
+    let unanswering = if is_refused { &mut node.ended } else { &mut node.silent };
+    unanswering.insert(vm("one"));
+    node.probed.clear();
+    let mut running_ms = 0;
+    while !node.has_dissolved_a_group() && running_ms < 10_000 {
+        node.pause(pause_ms);
+        node.run(2 * TICK_MS);
+        running_ms += 2 * TICK_MS;
+    }
+    let probes = node.probed.iter().filter(|probed| **probed == vm("one")).count();
+    assert!(node.has_dissolved_a_group(), "not found in {running_ms} ms, {probes} probes");
+    assert!(running_ms <= 4_000 && probes <= 30, "{running_ms} ms, {probes} probes");
+}
+
+/// A node that pauses again and again must not take an endpoint for dead that answers each probe, or
+/// that is silent for a second or so and goes on.
+#[rstest]
+fn a_node_that_pauses_again_and_again_keeps_sound_members(
+    #[values(0, 1_000, 1_800)] silent_ms: u64,
+    #[values(300, 600)] pause_ms: u64,
+) {
+    let mut node = PlanningNode::new(vec![support::head("one", 1), support::head("two", 2)]);
+    while node.send().is_some_and(|attempt_id| node.head_of(attempt_id) != vm("one")) {}
+    node.run_with_progress(500);
+    node.silent.insert(vm("one"));
+    let silent_until_ms = node.now_ms + silent_ms;
+    for _ in 0..30 {
+        if node.now_ms >= silent_until_ms {
+            node.silent.clear();
+        }
+        node.pause(pause_ms);
+        node.run_with_progress(2 * TICK_MS);
+    }
+    assert!(!node.has_dissolved_a_group(), "{:?}", node.orders);
+}
--- a/crates/fleet/tests/fleet/planning_node.rs
+++ b/crates/fleet/tests/fleet/planning_node.rs
@@ -122,6 +122,11 @@
         self.targets.contains_key(&attempt_id).then_some(attempt_id)
     }
 
+    /// Returns the endpoint that an open attempt was sent to.
+    pub fn head_of(&self, attempt_id: AttemptId) -> VmName {
+        self.targets[&attempt_id].vm.clone()
+    }
+
     /// Ends an attempt whose caller leaves.
     pub fn cancel(&mut self, attempt_id: AttemptId) {
         self.targets.remove(&attempt_id);
