Take over a version that is written again with other content

Callers with a key of the version that the operators wrote after a restore got 401 for good at all nodes that held the lost content of the same version, and a key that only the lost content had went on to be accepted.

Cause: a configuration replaced another one by its version alone. A store that comes back from a copy may lose a version and get it again with other content; the operators have then been told that this content is in force.

Change: a configuration of the same version replaces the one read before it if its content differs. A node reads the topic in order, and an answer of an earlier era is an error, so what is read later is what was confirmed later. Lower versions still change nothing.

Ruled out: an order of content by era at the reducer, as the reads of a node are already in the order of the store. Conclusion: a version that operators reuse while others hold a higher one is still ignored, as versions never go back.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -3,6 +3,7 @@
 //! One value holds a complete version, so that a request is handled by the same version from its
 //! first look-up to its last.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use balsam_types::RouteName;
 
 /// One version of the configuration.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
     /// Increases with each change; see [`Configuration::replaces`].
     pub version: u64,
@@ -85,7 +86,7 @@
 }
 
 /// Destination of the requests for a host and path.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
     /// The name, for logs.
     pub name: RouteName,
@@ -110,7 +111,7 @@
 }
 
 /// A set of endpoints that answer the same requests.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PoolConfig {
     /// The name.
     pub name: PoolName,
@@ -124,7 +125,7 @@
 }
 
 /// Settings of a pool's model engines; see `docs/decisions/0008-platform.md`.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
     /// Maximum number of concurrent requests of a group.
     pub slots: u32,
@@ -171,9 +172,16 @@
 }
 
 impl Configuration {
-    /// Whether this version replaces another one; versions never go back.
+    /// Whether this configuration replaces one that was read before it; versions never go back.
+    ///
+    /// A store that came back from a copy without a version may get it again with other content,
+    /// which is then the one that the operators had confirmed last.
     pub fn replaces(&self, other: &Configuration) -> bool {
-        self.version > other.version
+        match self.version.cmp(&other.version) {
+            Ordering::Less => false,
+            Ordering::Equal => self != other,
+            Ordering::Greater => true,
+        }
     }
 
     /// Finds the route of a request: the longest prefix among those of the host.
