Do not serve by a copy while another node has a newer version

Callers of a node that started after a restore got 401 and 404 for what a confirmed newer configuration allows, and requests with a removed key ran, until the operators wrote their changes again; the other nodes had the newer version in force all the time. A node that starts before it hears another one could also use a data centre whose evacuation the others retain.

Cause: a starting node served by what it read, and the store that came back from a copy lacks what it had confirmed. The version that other nodes report only made the node read again.

Change: a node answers new requests with 503 and `Retry-After`, and is not ready for new connections, while a live node (a report within 2 s) has a newer version although this node's own reads go as far as that node's. A version that can still be read, as at each ordinary change, refuses nothing. The operators may never write the lost version again, so this ends 10 s after a node first saw the era, as retained evacuations do. After a restore a starting node first waits for a report of another node, for 1 s at most. Neither applies in the store's first era. The line `ready` names the version.

The tests of `restored_configuration.rs` cover the bounds: the node that had the version is gone, the version is written again or never, ordinary changes, a lone node, a first start. Ruled out: the position that a node knows from reports instead of its own reads; it is ahead of its configuration at each change, and nodes would have refused requests then. Conclusion: nodes do not pass the configuration itself on, so a node that starts within the bound serves nothing until the operators write again or no live node has the lost version.

--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -131,6 +131,10 @@
     era_seen_ms: u64,
     /// When a read of this node last confirmed that no record followed.
     read_ms: Option<u64>,
+    /// The position at which a read of this node last confirmed it.
+    read_end: StorePosition,
+    /// When a read of this node first confirmed it.
+    first_read_ms: Option<u64>,
     /// When a read of any node last confirmed it.
     confirmed_ms: Option<u64>,
     /// The evacuated data centres as of the position.
@@ -165,6 +169,22 @@
         self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// Returns the position up to which this node's own reads found every record.
+    pub(crate) fn read_end(&self) -> StorePosition {
+        self.read_end
+    }
+
+    /// Returns the time since this node's first read; `None` before it.
+    pub(crate) fn first_read_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.first_read_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Whether the store came back from a copy so recently that the operators may not have written
+    /// again what it lacks.
+    pub(crate) fn may_lack_records(&self, now_ms: u64) -> bool {
+        self.position.is_restored() && now_ms < self.era_seen_ms + RETENTION_MS
+    }
+
     /// Applies the result of a read; returns the resulting changes.
     ///
     /// Records before the known position were applied already and must not undo later ones.
@@ -187,6 +207,8 @@
             }
             OperatorsUpdate::Confirmed { end, as_of_ms } => {
                 self.enter_era(now_ms, end.era);
+                self.read_end = self.read_end.max(end);
+                self.first_read_ms.get_or_insert(now_ms);
                 if end >= self.position {
                     self.position = end;
                     self.read_ms = self.read_ms.max(Some(as_of_ms));
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -461,9 +461,11 @@
         Scope::Node => {}
     }
     fleet.loads.report(now_ms, &report);
-    let PeerReport { node, data_centre, scope, has_store, demand, lost, .. } = report;
+    let operators_position = report.operators.position;
+    let PeerReport { node, data_centre, scope, has_store, version, demand, lost, .. } = report;
     fleet.demand.report(now_ms, &node, demand);
-    let peer = Peer { heard_ms: now_ms, data_centre, scope, has_store, lost };
+    let heard_ms = now_ms;
+    let peer = Peer { heard_ms, data_centre, scope, has_store, version, operators_position, lost };
     fleet.peers.insert(node, peer);
 }
 
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -30,6 +30,7 @@
 use crate::own_pauses::OwnPauses;
 use crate::pauses::Pauses;
 use crate::planner::Planner;
+use crate::position::StorePosition;
 use crate::quarantine::Quarantine;
 use crate::reachability::Reachability;
 use crate::serving::RequestKind;
@@ -62,6 +63,10 @@
     pub data_centre: DataCentreName,
     pub scope: Scope,
     pub has_store: bool,
+    /// The version of its configuration.
+    pub version: u64,
+    /// The position up to which it knows the operators' topic.
+    pub operators_position: StorePosition,
     pub lost: Vec<LostGroup>,
 }
 
@@ -95,6 +100,11 @@
 /// the work back and forth, and a drain was noticed 2.2 s late (cmg-ruteo, scale-2).
 const STORE_RECOVERY_MS: u64 = 3_000;
 
+/// How long a starting node waits for a report of another node before it serves from a store that
+/// has just come back from a copy. A node without seeds finds the others in the store after 500 ms
+/// and hears them 100 ms later.
+const FIRST_REPORT_WAIT_MS: u64 = 1_000;
+
 /// Number of nodes per data centre that probe an endpoint when another node found it silent: one of
 /// them may have stopped itself.
 const WITNESSES_PER_DATA_CENTRE: usize = 2;
@@ -273,8 +283,38 @@
     }
 
     /// Whether the node can serve requests.
-    pub fn is_ready(&self) -> bool {
-        self.configuration.is_some() && self.directory.has_been_read()
+    pub fn is_ready(&self, now_ms: u64) -> bool {
+        self.configuration_to_serve(now_ms).is_some() && self.directory.has_been_read()
+    }
+
+    /// Returns the configuration for new requests; `None` before the first, and while a newer one is
+    /// known to be in force that the store lacks.
+    ///
+    /// A configuration from a copy would refuse what the newer one allows, and run what it refuses.
+    /// Neither is the case if the caller is sent to a node that has the newer one.
+    pub fn configuration_to_serve(&self, now_ms: u64) -> Option<&Arc<Configuration>> {
+        let awaits_reports = self.operators.may_lack_records(now_ms) && {
+            let has_waited = self.operators.first_read_age_ms(now_ms) >= Some(FIRST_REPORT_WAIT_MS);
+            !has_waited && !self.peers.values().any(|peer| peer.is_live(now_ms))
+        };
+        let may_serve = !awaits_reports && self.lost_version(now_ms).is_none();
+        self.configuration.as_ref().filter(|_| may_serve)
+    }
+
+    /// Returns the newest version that a live node has in force and that this node's reads of the
+    /// operators' topic did not find, although they went as far as that node's.
+    ///
+    /// The operators may not write that version again, so it counts for as long as an evacuation
+    /// does that the store lacks; see [`crate::operators::RETENTION_MS`].
+    pub fn lost_version(&self, now_ms: u64) -> Option<u64> {
+        let read_end = self.operators.read_end();
+        let is_lost = |peer: &&Peer| {
+            peer.is_live(now_ms)
+                && peer.version > self.version()
+                && peer.operators_position <= read_end
+        };
+        let lost = self.peers.values().filter(is_lost).map(|peer| peer.version).max();
+        lost.filter(|_| self.operators.may_lack_records(now_ms))
     }
 
     /// Returns the report that is sent to other nodes.
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod planning_node;
 mod quarantine;
 mod quarantine_simulation;
+mod restored_configuration;
 mod silences;
 mod simulation;
 mod support;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -142,10 +142,14 @@
 
     /// Whether the node should receive new connections; logs changes.
     pub fn is_ready(&self) -> bool {
-        let is_ready =
-            !*self.shared.stopping.borrow() && self.shared.hub.read(|fleet| fleet.is_ready());
+        let (is_ready, lost_version) = self.shared.hub.read(|fleet| {
+            let now_ms = now_ms();
+            (fleet.is_ready(now_ms), fleet.lost_version(now_ms))
+        });
+        let is_ready = is_ready && !*self.shared.stopping.borrow();
         if self.shared.was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
-            info!(self.shared.hub.log, "readiness changed"; "kind" => "ready", "ready" => is_ready);
+            info!(self.shared.hub.log, "readiness changed"; "kind" => "ready", "ready" => is_ready,
+                "lost_version" => lost_version);
         }
         is_ready
     }
@@ -290,7 +294,8 @@
     let expects_continue = parts.headers.contains_key(header::EXPECT);
     let id = parts.headers.get(&shared.dialect.request_id).cloned();
     let open = shared.open.add(shared.hub.clone(), id.clone(), running.clone());
-    let reading = request::read(shared.hub.configuration(), &shared.dialect, parts, &mut body);
+    let reading =
+        request::read(shared.hub.configuration_to_serve(), &shared.dialect, parts, &mut body);
     let parsed = tokio::select! {
         biased;
         parsed = reading => parsed,
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -245,6 +245,11 @@
         self.read(|fleet| fleet.configuration.clone())
     }
 
+    /// Returns the configuration for new requests; see [`Fleet::configuration_to_serve`].
+    pub(crate) fn configuration_to_serve(&self) -> Option<Arc<Configuration>> {
+        self.read(|fleet| fleet.configuration_to_serve(now_ms()).cloned())
+    }
+
     /// Finds an endpoint for a request, waiting for capacity if necessary.
     pub(crate) async fn place(
         self: &Arc<Self>,
