Wait for a lease whose records the store lost at a start

Two nodes held the planner lease and gave contradicting orders if a node started within the term of a holder, all records of the lease were lost by a restore, and the new node had not heard the holder.

Cause: a topic without a record was taken for a lease that nobody holds. That is true for a store's first era only.

Change: a first read that finds no record in a later era leaves the lease alone for one term, in which a holder from before the restore renews it or loses it. The first start of a fleet is in the first era (or the store states none) and does not wait; this is part of the test.

Ruled out: a wait at every first read, which would have cost each first start 1.8 s. Conclusion: the starting node of a restored store without records plans up to one term later.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -7,8 +7,8 @@
 //! cost a second of planning.
 //!
 //! The store that keeps the records may come back from a copy and begin a new era without the last
-//! ones. A holder then keeps its lease until its end and must renew it in the new era; nobody else
-//! takes it before that end. See `docs/incidents/restored-store.md`.
+//! ones, or without any. A holder then keeps its lease until its end and must renew it in the new
+//! era; nobody else takes it before that end, nor does a node that starts meanwhile. See `docs/incidents/restored-store.md`.
 
 use crate::position::StorePosition;
 
@@ -35,7 +35,7 @@
     /// A node that did so in an earlier era of the store, as in a copy. The records that followed
     /// may be missing.
     EarlierEra,
-    /// Nobody: there is no record.
+    /// Nobody: there is no record, or the store lost all of them.
     Nobody,
 }
 
@@ -138,10 +138,15 @@
 
     /// Records the end of the records as found by a read.
     pub fn read(&mut self, now_ms: u64, end: StorePosition, last: LastHolder) {
+        let is_first = self.era.is_none();
         self.enter_era(now_ms, end.era);
         if self.era != Some(end.era) {
             return;
         }
+        if is_first && end.is_restored() && last == LastHolder::Nobody {
+            // The store may have lost all records of a lease that its holder still uses.
+            self.free_from_ms = now_ms + self.ttl_ms;
+        }
         let may_continue = match last {
             // The record may be of a renewal that was not answered; it does not extend the lease.
             LastHolder::Own => true,
--- a/crates/fleet/tests/fleet/lease.rs
+++ b/crates/fleet/tests/fleet/lease.rs
@@ -137,6 +137,24 @@
     assert!(largest < 1 << (53 - 16), "{largest}");
 }
 
+/// Guards against a node that starts after a restore and takes the lease of a holder whose records are
+/// all lost: two nodes held it for up to the holder's term. A first start must not wait.
+#[test]
+fn a_starting_node_does_not_take_a_lease_without_records() {
+    let started_ms = 700;
+    let mut starting = Lease::new(TTL_MS, 600);
+    starting.read(started_ms, restored(0), LastHolder::Nobody);
+    starting.unanswered();
+    starting.read(started_ms + 50, restored(0), LastHolder::Nobody);
+    assert!(holder().held(started_ms + 100).is_some());
+    assert_eq!(starting.step(started_ms + 100), Step::Nothing);
+    assert_eq!(starting.step(started_ms + TTL_MS - 1), Step::Nothing);
+    assert_eq!(starting.step(started_ms + TTL_MS), Step::Append(restored(0)));
+    let mut first = Lease::new(TTL_MS, 600);
+    first.read(0, at(0), LastHolder::Nobody);
+    assert_eq!(first.step(0), Step::Append(at(0)));
+}
+
 /// The records of the lease in a store that may come back from a copy.
 #[derive(Default)]
 struct Records {
