Let a comment of one attempt end no other attempt of a stream

A caller's stream was cut after a comment alone, although its first endpoint, silent for 3.5 s, went on and would have sent the whole stream: the second endpoint had sent a keep-alive comment and then closed.

Cause: StreamReader took a comment for an event. It ended the other attempts and was forwarded, so that the request could no longer be answered otherwise.

Change: comments are held back while the caller has no event, or while several attempts are open, and go out with the next event of their attempt, or at its end. A single attempt of a started stream forwards them at once, as before.

Ruled out: dropping the comments, as the product's own interface does: a caller may compare whole bodies.

Conclusion: only an event ends other attempts. A caller whose endpoint sends comments while it reads the prompt now gets the head of its answer with the first event.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,8 +1,8 @@
 //! Requests whose answer is a stream of events.
 //!
-//! Nothing is forwarded before the first event, so that an attempt without one can be retried.
-//! After that, a resumable stream is continued at another endpoint after the last event that was
-//! forwarded; the caller sees a single answer.
+//! Nothing, not even a comment, is forwarded before the first event, so that an attempt without one
+//! can be retried. After that, a resumable stream is continued at another endpoint after the last
+//! event that was forwarded; the caller sees a single answer.
 //!
 //! An endpoint that is silent may go on at any moment, so silence starts another attempt but ends
 //! none: the first attempt that delivers an event ends the others. Without another attempt the
@@ -311,6 +311,11 @@
             },
             Progress::End => match end_failure(&self.upstreams[index]) {
                 Some(failure) => self.on_failure(index, failure)?,
+                None if !self.upstreams[index].held_back.is_empty() => {
+                    // The end of the body is read once more after these.
+                    let comments = self.upstreams[index].held_back.split().freeze();
+                    return Ok(Some(self.deliver(index, comments)));
+                }
                 None => return Ok(Some(self.complete(index))),
             },
         }
@@ -431,9 +436,11 @@
 
     /// Takes the complete events of an attempt that the caller does not have yet.
     fn take_events(&mut self, index: usize) -> Result<Option<Bytes>, AttemptFailure> {
+        let is_alone = self.has_events && self.upstreams.len() == 1;
         let upstream = &mut self.upstreams[index];
         let mut events: Option<Bytes> = None;
         let mut joined = BytesMut::new();
+        let mut has_only_comments = true;
         while upstream.fault.is_none()
             && let Some(event) = upstream.splitter.next_event()
         {
@@ -449,7 +456,10 @@
                 }
             }
             match next_step(&event, self.last_id, &mut self.forwarded) {
-                Ok(EventStep::Forward) => self.last_id = event.id.or(self.last_id),
+                Ok(EventStep::Forward) => {
+                    has_only_comments &= event.is_keep_alive;
+                    self.last_id = event.id.or(self.last_id);
+                }
                 Ok(EventStep::Skip) => continue,
                 Err(fault) => {
                     upstream.fault = Some(fault);
@@ -472,7 +482,21 @@
         {
             return Err(fault);
         }
-        Ok(if joined.is_empty() { events } else { Some(joined.freeze()) })
+        let taken = if joined.is_empty() { events } else { Some(joined.freeze()) };
+        // A comment shows that an endpoint is alive, not that an event will follow, so it must not end
+        // the other attempts.
+        let holds_back = has_only_comments && !is_alone;
+        Ok(match taken {
+            Some(comments) if holds_back => {
+                upstream.held_back.extend_from_slice(&comments);
+                None
+            }
+            Some(events) if !upstream.held_back.is_empty() => {
+                upstream.held_back.extend_from_slice(&events);
+                Some(upstream.held_back.split().freeze())
+            }
+            taken => taken,
+        })
     }
 
     /// Ends a complete answer and the other attempts.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -88,6 +88,8 @@
     pub is_framed: bool,
     /// The bytes of the stream that were not taken yet.
     pub splitter: Splitter,
+    /// Comments that the caller gets with the next event of this attempt.
+    pub held_back: BytesMut,
     /// Bytes since the last event with data.
     pub bytes_since_data: usize,
     /// A fault after the events that were taken last.
@@ -119,6 +121,7 @@
             keep_alive: Duration::ZERO,
             is_framed: false,
             splitter: Splitter::default(),
+            held_back: BytesMut::new(),
             bytes_since_data: 0,
             fault: None,
             progress_at: Instant::now(),
