Wait for memory instead of ending a large answer

Callers of plain requests got 502 for requests that had run and whose answers were arriving, when the answers that a node was buffering came to more than 48 MB.

Cause: plain::read_answer ended the answer that exceeded the total, and counted it as a fault of its endpoint.

Change: an answer above 32 KB reserves memory for its stated size, or for the largest one that is allowed if it states none, before more of it is read. It waits for that memory; its endpoint is held back meanwhile, and the deadline still holds. As the whole size is reserved at once, no two answers wait for each other. The limit of 4 MB for one answer is unchanged.

Tests of silent endpoints, scenarios, unframed answers and shutdown pass (72).

Conclusion: at most 12 answers above 32 KB without a stated length are read at once.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -26,6 +25,7 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -99,8 +99,8 @@
     open: Arc<OpenRequests>,
     connections: AtomicU64,
     pub open_connections: OpenConnections<Activity>,
-    /// Total size of the answers that are being buffered.
-    pub buffered_bytes: AtomicUsize,
+    /// The bytes of memory that are left for large answers.
+    pub answer_memory: Semaphore,
     was_ready: AtomicBool,
 }
 
@@ -134,7 +134,7 @@
             open: Arc::default(),
             connections: AtomicU64::new(0),
             open_connections: OpenConnections::default(),
-            buffered_bytes: AtomicUsize::new(0),
+            answer_memory: Semaphore::new(plain::ANSWER_MEMORY_BYTES),
             was_ready: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,7 +1,6 @@
 //! Requests whose answer is a single body.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsam_fleet::Arrival;
@@ -17,6 +16,7 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use http::Response;
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -37,8 +37,12 @@
 /// Maximum size of an answer, which is buffered whole before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Maximum total size of the buffered answers; the smallest VMs have 160 MB of memory.
-const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
+/// Memory for answers that are larger than `UNRESERVED_ANSWER_BYTES`; the smallest VMs have 160 MB.
+pub(crate) const ANSWER_MEMORY_BYTES: usize = 48 * 1024 * 1024;
+
+/// Size up to which an answer is read without a reservation. The callers' connections, some 600 by
+/// default, bound the memory of these answers to 20 MB.
+const UNRESERVED_ANSWER_BYTES: usize = 32 * 1024;
 
 /// Serves a request whose answer is a single body.
 ///
@@ -236,46 +240,35 @@
 }
 
 /// Reads a complete answer and returns the connection to the pool if it ended properly.
+///
+/// A large answer reserves memory for its whole size before more of it is read, and waits if there is
+/// none: its endpoint may have run the request, so that the answer could not be had again.
 async fn read_answer(
     shared: &Shared,
     (mut conn, response): (Conn, Response<Incoming>),
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let (mut head, mut body) = response.into_parts();
+    let stated_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let mut answer_bytes = BytesMut::new();
-    let mut buffered = BufferedAnswer { shared, bytes: 0 };
+    let mut reservation = None;
     while let Some(frame) = conn.driver.drive(body.frame()).await {
         let frame = frame.map_err(|error| attempt::body_read_failure(&error))?;
         let Ok(data) = frame.into_data() else { continue };
-        let all_bytes = buffered.add(data.len());
-        if buffered.bytes > MAX_ANSWER_BYTES || all_bytes > MAX_BUFFERED_BYTES {
+        let read_bytes = answer_bytes.len() + data.len();
+        if read_bytes.max(stated_bytes.unwrap_or(0)) > MAX_ANSWER_BYTES {
             return Err(AttemptFailure::Faulty("the answer exceeds the limit".to_owned()));
         }
+        if reservation.is_none() && read_bytes > UNRESERVED_ANSWER_BYTES {
+            let bytes = stated_bytes.unwrap_or(MAX_ANSWER_BYTES) as u32;
+            // The semaphore is never closed.
+            reservation = shared.answer_memory.acquire_many(bytes).await.ok();
+        }
         answer_bytes.extend_from_slice(&data);
     }
-    drop(buffered);
+    drop(reservation);
     let keep_alive = attempt::keep_alive_duration(&head.headers, shared.options.endpoint_idle());
     shared.client.return_connection(conn, keep_alive);
     remove_hop_by_hop(&mut head.headers);
     let body: Bytes = answer_bytes.freeze();
     Ok(EndpointAnswer { status: head.status, headers: head.headers, body })
 }
-
-/// Adds the size of one buffered answer to the shared total until dropped.
-struct BufferedAnswer<'a> {
-    shared: &'a Shared,
-    bytes: usize,
-}
-
-impl BufferedAnswer<'_> {
-    /// Counts more bytes; returns the total of all answers.
-    fn add(&mut self, bytes: usize) -> usize {
-        self.bytes += bytes;
-        self.shared.buffered_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
-    }
-}
-
-impl Drop for BufferedAnswer<'_> {
-    fn drop(&mut self) {
-        self.shared.buffered_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
