Share the reading after the last answer between both interfaces

No caller sees a change. The relay and the own interface each had a loop that reads and discards what arrives after the last answer, for a time and up to a number of bytes, so that a close does not reset the answer. Both use balsam_http::Linger now, with their former times and bytes; the reads of the own interface are of 4 KiB instead of 16 KiB. Where the loops are started stays apart: the relay runs it in the shutdown of the socket, within the task and the count of its connection, the own interface in a task of its own after the drop, bounded by a semaphore.

The comment at WRITE_TIMEOUT said that nothing else ends the connection of a caller that is gone; the system's last retransmission does, many minutes later. It does not end that of a caller that lives and does not read.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accept_queue;
 pub mod client;
 pub mod headers;
+pub mod linger;
 pub mod open_connections;
 pub mod reusable_timeout;
 pub mod sse;
@@ -15,6 +16,7 @@
 pub use client::Conn;
 pub use client::Reuse;
 pub use client::SendError;
+pub use linger::Linger;
 pub use open_connections::OpenConnections;
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use balsam_fleet::configuration::CallerLimits;
+use balsam_http::Linger;
 use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -29,7 +30,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use tokio::time::Sleep;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -60,8 +60,9 @@
 /// Time for the first request of a connection over the limit, and for its refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time for which a caller may read nothing of an answer that is being written. Nothing else ends the
-/// connection of a caller that is gone and whose VM does not answer.
+/// Time for which a caller may read nothing of an answer that is being written. The system ends the
+/// connection of a caller whose VM does not answer only after its last retransmission, many minutes
+/// later, and that of a caller that is alive but does not read never.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time in which a connection that is being closed must have sent what is left of its answer.
@@ -236,32 +237,6 @@
     linger: Option<Linger>,
 }
 
-/// What is read and discarded after the last answer.
-struct Linger {
-    timer: Pin<Box<Sleep>>,
-    left_bytes: usize,
-}
-
-impl Linger {
-    fn new() -> Self {
-        Self { timer: Box::pin(sleep(LINGER_TIME)), left_bytes: LINGER_BYTES }
-    }
-
-    /// Reads until the caller closes the connection or a limit is reached.
-    fn poll(&mut self, stream: &mut TcpStream, cx: &mut Context<'_>) -> Poll<()> {
-        let mut bytes = [0; 4096];
-        while self.timer.as_mut().poll(cx).is_pending() && self.left_bytes > 0 {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer));
-            if read.is_err() || buffer.filled().is_empty() {
-                break;
-            }
-            self.left_bytes = self.left_bytes.saturating_sub(buffer.filled().len());
-        }
-        Poll::Ready(())
-    }
-}
-
 impl AsyncRead for CallerSocket {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -302,11 +277,9 @@
                 if this.activity.state().is_closed_idle {
                     return Poll::Ready(Ok(()));
                 }
-                this.linger.insert(Linger::new())
+                this.linger.insert(Linger::new(LINGER_TIME, LINGER_BYTES))
             }
         };
-        // Bytes that are unread when a socket is dropped, or arrive later, reset the connection and
-        // discard the part of the answer that the caller has not received.
         linger.poll(&mut this.stream, cx).map(Ok)
     }
 
--- a/crates/serve/src/linger.rs
+++ b/crates/serve/src/linger.rs
@@ -1,9 +1,6 @@
 //! Sockets of callers' connections, which read on for a while after the node has closed them.
-//!
-//! A close with unread bytes, or bytes that arrive after it, resets the connection, and the reset
-//! discards an answer that the caller has not read yet, such as a refusal by the head of a request
-//! whose body is still arriving.
 
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,13 +8,12 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use balsam_http::Linger;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use crate::shared::Shared;
 
@@ -31,8 +27,6 @@
 /// How many bytes are read from a closed socket.
 const LINGER_BYTES: usize = 4 * 1024 * 1024;
 
-const BUFFER_BYTES: usize = 16 * 1024;
-
 /// The socket of a caller's connection.
 pub(crate) struct CallerSocket {
     stream: Option<TcpStream>,
@@ -58,7 +52,7 @@
         if let (Ok(permit), Ok(runtime)) = (permit, tokio::runtime::Handle::try_current()) {
             runtime.spawn(async move {
                 let _permit = permit;
-                let _ = timeout(LINGER_TIME, discard(stream)).await;
+                let _ = discard(stream).await;
             });
         }
     }
@@ -67,14 +61,8 @@
 /// Ends the sending side and discards what arrives.
 async fn discard(mut stream: TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
-    let mut buffer = vec![0; BUFFER_BYTES];
-    let mut left_bytes = LINGER_BYTES;
-    while left_bytes > 0 {
-        match stream.read(&mut buffer).await? {
-            0 => break,
-            read_bytes => left_bytes = left_bytes.saturating_sub(read_bytes),
-        }
-    }
+    let mut linger = Linger::new(LINGER_TIME, LINGER_BYTES);
+    poll_fn(|cx| linger.poll(&mut stream, cx)).await;
     Ok(())
 }
 
