Read a request that has arrived before its connection is closed

On the own interface, a caller could get an end of file instead of an answer for a request that had arrived whole: on a connection that was closed for a new one over the limit, or at the end of the time for its first head, at the moment at which the request came. The choice between the connection and the reason for a close was random when both were ready, and a close for the time went by a timer that the runtime may report before it has looked for new bytes.

The connection is polled first now, and once more after the runtime has looked for new bytes, before it is closed for any reason. One that has a request by then is closed after its answer.

Not covered: a head that has arrived in part on a kept connection is still discarded by such a close.

--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::yield_now;
 use viz::Request;
 use viz::Responder;
 use viz::Response;
@@ -216,31 +217,36 @@
     let idle_timeout = Duration::from_millis(shared.options.idle_connection_ms);
     let mut tick = tokio::time::interval((header_timeout / 2).max(Duration::from_millis(10)));
     loop {
-        tokio::select! {
+        let ends_unused = tokio::select! {
+            biased;
             // An error on a connection affects only its caller and is ignored.
             _ = connection.as_mut() => return,
-            _ = activity.close.notified(), if !is_closing => {
-                if !activity.had_request.load(Ordering::Relaxed) {
-                    return;
-                }
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = close_time.as_mut(), if !is_closing => {
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
+            _ = activity.close.notified(), if !is_closing => true,
+            () = close_time.as_mut(), if !is_closing => false,
             _ = tick.tick() => {
                 // hyper starts its own timers only after it has detected the protocol.
                 let had_request = activity.had_request.load(Ordering::Relaxed);
-                if !had_request && activity.started.elapsed() > header_timeout {
-                    return;
-                }
-                if !is_closing && activity.idle_for() > idle_timeout {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
+                let is_head_late = !had_request && activity.started.elapsed() > header_timeout;
+                let is_idle = !is_closing && activity.idle_for() > idle_timeout;
+                if !is_head_late && !is_idle {
+                    continue;
                 }
+                is_head_late
             }
+        };
+        // A request may have arrived that the runtime has not reported yet. It is read before the
+        // close, which would discard it.
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            () = yield_now() => {}
+        }
+        if ends_unused && !activity.had_request.load(Ordering::Relaxed) {
+            return;
+        }
+        if !is_closing {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
         }
     }
 }
--- a/crates/serve/tests/serve/limits.rs
+++ b/crates/serve/tests/serve/limits.rs
@@ -153,6 +153,38 @@
     assert!(oldest.is_ok(), "the oldest connection is still open");
 }
 
+/// Guards against closing a connection for a new one, or at the end of the time for its head, while a
+/// whole request is on it that was not read yet.
+#[rstest]
+#[case::for_a_new_connection(true)]
+#[case::at_the_header_timeout(false)]
+#[tokio::test]
+async fn a_request_that_waits_unread_keeps_its_connection(#[case] has_other: bool) {
+    const HEADER_TIMEOUT_MS: u64 = 200;
+    let options = ServeOptions {
+        max_connections: 1,
+        header_read_timeout_ms: HEADER_TIMEOUT_MS,
+        ..ServeOptions::default()
+    };
+    let harness = Harness::start_with(options, &[], &[]).await;
+    for round in 0..16 {
+        let mut caller = TcpStream::connect(harness.address).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        // The node runs on this thread, so that it finds both when it goes on.
+        let _other = has_other.then(|| std::net::TcpStream::connect(harness.address).unwrap());
+        let request = b"POST /elsewhere HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+        assert_eq!(caller.try_write(request).unwrap(), request.len());
+        if !has_other {
+            std::thread::sleep(Duration::from_millis(HEADER_TIMEOUT_MS));
+        }
+        let mut byte = [0; 1];
+        let read = tokio::time::timeout(Duration::from_secs(3), caller.read(&mut byte)).await;
+        assert!(matches!(read, Ok(Ok(1))), "no answer in round {round}: {read:?}");
+        drop(caller);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against exceeding the connection limit when all connections run requests.
 #[tokio::test]
 async fn connection_above_the_limit_is_closed_while_all_others_run_requests() {
