--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
