Do not read the topic again for a version that the store lost

A node that started after a restore read the operators' topic again about every 1.8 s for as long as the process lived, because other nodes had once reported a version that the store no longer has.

Cause: the newest version ever reported was compared, whoever reported it and from whichever era.

Change: a version counts if a live node has it and this node's own reads after the restore did not go as far as that node's. In the store's first era nothing changes but that reports older than 2 s no longer count.

Evidence: `a_version_that_the_store_lost_aborts_no_read` failed before (the read was aborted after 400 ms) and passes now; a record that was not read yet is still requested (second case). All 4 tests of `newer_configuration` pass.

--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -307,16 +307,30 @@
     /// The operators may not write that version again, so it counts for as long as an evacuation
     /// does that the store lacks; see [`crate::operators::RETENTION_MS`].
     pub fn lost_version(&self, now_ms: u64) -> Option<u64> {
-        let read_end = self.operators.read_end();
-        let is_lost = |peer: &&Peer| {
-            peer.is_live(now_ms)
-                && peer.version > self.version()
-                && peer.operators_position <= read_end
-        };
-        let lost = self.peers.values().filter(is_lost).map(|peer| peer.version).max();
+        let lost = self.newer_peers(now_ms).filter(|peer| self.has_read_as_far_as(peer));
+        let lost = lost.map(|peer| peer.version).max();
         lost.filter(|_| self.operators.may_lack_records(now_ms))
     }
 
+    /// Whether a live node has a newer version in force that a read of the operators' topic may
+    /// return.
+    pub fn may_read_newer_version(&self, now_ms: u64) -> bool {
+        self.newer_peers(now_ms).any(|peer| !self.has_read_as_far_as(peer))
+    }
+
+    /// Returns the live nodes with a newer configuration.
+    fn newer_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        let version = self.version();
+        self.peers.values().filter(move |peer| peer.is_live(now_ms) && peer.version > version)
+    }
+
+    /// Whether the store came back from a copy and this node's own reads of it went as far as the
+    /// position of another node.
+    fn has_read_as_far_as(&self, peer: &Peer) -> bool {
+        let read_end = self.operators.read_end();
+        read_end.is_restored() && peer.operators_position <= read_end
+    }
+
     /// Returns the report that is sent to other nodes.
     pub fn report(&self, now_ms: u64) -> PeerReport {
         let loads = self.loads.own().map(|(vm, load)| PeerLoad {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,8 +10,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use balsam_fleet::Event;
@@ -197,8 +195,6 @@
     /// The newest summaries of other data centres, encoded, with the time of receipt.
     summaries: Mutex<BTreeMap<DataCentreName, (u64, Vec<u8>)>>,
     updates: mpsc::Sender<ListUpdate>,
-    /// The newest configuration version reported by another node.
-    newest_peer_version: AtomicU64,
     newer_version_reported: Notify,
     /// The latest era of the store reported by another node.
     latest_peer_era: watch::Sender<u64>,
@@ -219,7 +215,6 @@
             peers: Mutex::default(),
             summaries: Mutex::default(),
             updates,
-            newest_peer_version: AtomicU64::new(0),
             newer_version_reported: Notify::new(),
             latest_peer_era: watch::Sender::new(0),
         };
@@ -246,7 +241,7 @@
     }
 
     fn has_newer_peer_version(&self) -> bool {
-        self.newest_peer_version.load(Ordering::Relaxed) > self.hub.read(|fleet| fleet.version())
+        self.hub.read(|fleet| fleet.may_read_newer_version(now_ms()))
     }
 
     /// Returns when other nodes have had a newer configuration for `max_lag`.
@@ -487,10 +482,6 @@
             Scope::Node => self.record_report(from, &report),
             Scope::DataCentre { .. } => self.record_summary(from, &data_centre, &nodes, bytes),
         }
-        self.newest_peer_version.fetch_max(report.version, Ordering::Relaxed);
-        if self.has_newer_peer_version() {
-            self.newer_version_reported.notify_one();
-        }
         let era = report.operators.position.era;
         self.latest_peer_era.send_if_modified(|latest| {
             let is_later = era > *latest;
@@ -499,6 +490,9 @@
         });
         let is_node_report = report.scope == Scope::Node;
         self.hub.apply(Event::Peer(report));
+        if self.has_newer_peer_version() {
+            self.newer_version_reported.notify_one();
+        }
         if is_node_report && let Some(nodes) = self.node_list_for(from, known_node_count) {
             let _ = self.socket.send_to(&message::encode_nodes(&nodes), from).await;
         }
--- a/crates/relay/tests/newer_configuration.rs
+++ b/crates/relay/tests/newer_configuration.rs
@@ -8,13 +8,16 @@
 use balsam_fleet::Configuration;
 use balsam_fleet::Event;
 use balsam_fleet::FleetSettings;
+use balsam_fleet::StorePosition;
 use balsam_fleet::event::OrderAnswer;
 use balsam_fleet::event::ProbeAnswer;
+use balsam_fleet::operators::OperatorsUpdate;
 use balsam_relay::EndpointCalls;
 use balsam_relay::Gossip;
 use balsam_relay::GossipOptions;
 use balsam_relay::Hub;
 use balsam_relay::RelayMetrics;
+use balsam_relay::now_ms;
 use balsam_types::DataCentreName;
 use rstest::rstest;
 use tokio::net::UdpSocket;
@@ -81,3 +84,26 @@
     };
     assert_eq!(is_aborted, !is_returned);
 }
+
+/// Guards against reading the topic again and again for a version that the store lost and that the
+/// operators do not write again. A record that this node has not read yet must still be requested.
+#[rstest]
+#[case::the_store_lost_it(5, false)]
+#[case::it_follows_the_last_read(6, true)]
+#[tokio::test]
+async fn a_version_that_the_store_lost_aborts_no_read(
+    #[case] other_offset: u64,
+    #[case] is_expected: bool,
+) {
+    let (hub, gossip, address) = start_node("n1").await;
+    let (other_hub, other_gossip, _) = start_node("n2").await;
+    for (hub, version, offset) in [(&hub, 1, 5), (&other_hub, 2, other_offset)] {
+        configure(hub, version);
+        let end = StorePosition { era: 2, offset };
+        let as_of_ms = now_ms();
+        hub.apply(Event::Operators(OperatorsUpdate::Confirmed { end, as_of_ms }));
+    }
+    other_gossip.add_peers([address]);
+    let reported = timeout(MAX_LAG * 3, gossip.newer_configuration_reported(MAX_LAG)).await;
+    assert_eq!(reported.is_ok(), is_expected);
+}
