Keep forwarded answers over connections of silent nodes

What callers saw: a request that another data centre ran for them ended with a cut answer or 502 `unknown` when the node that passed it on was silent for more than a second or so (paused, starved, or a link that held data back), although the endpoint went on. Requests sent in the first seconds of a silence were lost as well.

Cause: the peer client's HTTP/2 keep-alive (2 s, and 1 s for the answer) closed the connection, and with it every open answer; the serving node then ended the requests that ran. And `RECENT_ANSWER` did not keep requests off a silent connection: after a second without an answer the node opened a TCP connection, which succeeded, threw it away and sent the request over the silent one.

Change: silence ends no connection. A request is forwarded over the open connection only if that answered within a second; otherwise over the one that is opened to check whether the node can be reached, which replaces the silent one. Open answers of the old connection go on, and it closes after the last. Every answer and every part of a forwarded one counts as an answer. A forwarded body ends at the request's deadline, which nothing but the keep-alive had bounded. Attempts beside a silent data centre start as before (`flow::Attempts::on_silence`).

Open streams end at their deadline.

Ruled out: the server side of the peer interface, which has no keep-alive. Checking the connection by a call before each request: a round trip, and a paused node would refuse what it now answers late.

Open: the other node's side of a connection whose peer vanished without a reset stays until TCP gives up.

--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -38,6 +38,7 @@
 use crate::agent_task::Message;
 use crate::agent_task::SharedTable;
 use crate::clock::Clock;
+use crate::peer_client::Connection;
 use crate::peer_client::PeerClients;
 use crate::peer_server::denial_label;
 use crate::peer_server::headers_from_pb;
@@ -204,10 +205,10 @@
         return Err(AttemptFailure::new(Outcome::NotRun, ProblemKind::NoEndpoint, detail));
     };
     let peer = *peer;
-    open_connection(&context, peer).await?;
+    let connection = open_connection(&context, peer).await?;
     let left_ms = forward.call.deadline_ms.saturating_sub(context.clock.now_ms());
     let request = forward_request(&context, &forward, left_ms);
-    let mut client = context.peers.client(peer);
+    let mut client = connection.client();
     let answer = timeout(Duration::from_millis(left_ms), client.forward(request)).await;
     let outcome_unknown = |detail: String| {
         // The request was sent, so the other node may have run it.
@@ -217,17 +218,20 @@
     let mut stream = match answer {
         Ok(Ok(answer)) => answer.into_inner(),
         Ok(Err(status)) => return outcome_unknown(status.message().to_owned()),
-        Err(_) => {
-            context.peers.forget(peer);
-            return outcome_unknown("no answer before the deadline".to_owned());
-        }
+        Err(_) => return outcome_unknown("no answer before the deadline".to_owned()),
     };
-    match next_event(&mut stream).await {
+    match next_event(&mut stream, &connection).await {
         Some(PbEvent::Head(head)) if head.attempt_id == forward.attempt_id => {
-            context.peers.note_answer(peer);
             let headers = headers_from_pb(head.headers).unwrap_or_default();
             let status = u16::try_from(head.status).unwrap_or(502);
-            Ok(AttemptAnswer { status, headers, body: body(stream, peer).boxed() })
+            let source = ForwardedAnswer {
+                stream,
+                connection,
+                peer,
+                clock: context.clock,
+                deadline_ms: forward.call.deadline_ms,
+            };
+            Ok(AttemptAnswer { status, headers, body: body(source).boxed() })
         }
         Some(PbEvent::Failure(failure)) => Err(failure_from_pb(failure, peer)),
         Some(_) => outcome_unknown("the answer belongs to another attempt".to_owned()),
@@ -237,17 +241,15 @@
 
 /// Opens a connection before anything is sent, so that a request to an unreachable node is known
 /// not to have run there.
-async fn open_connection(context: &PortContext, peer: SocketAddr) -> Result<(), AttemptFailure> {
-    if context.peers.answered_recently(peer) {
-        return Ok(());
-    }
-    let connected = timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(peer)).await;
-    if matches!(connected, Ok(Ok(_))) {
-        return Ok(());
-    }
-    context.peers.forget(peer);
-    let detail = format!("forwarding to {peer}: cannot open a connection");
-    Err(AttemptFailure::new(Outcome::NotRun, ProblemKind::NoEndpoint, detail))
+async fn open_connection(
+    context: &PortContext,
+    peer: SocketAddr,
+) -> Result<Connection, AttemptFailure> {
+    let connection = context.peers.answering_connection(peer, CONNECT_TIMEOUT).await;
+    connection.ok_or_else(|| {
+        let detail = format!("forwarding to {peer}: cannot open a connection");
+        AttemptFailure::new(Outcome::NotRun, ProblemKind::NoEndpoint, detail)
+    })
 }
 
 fn forward_request(
@@ -273,28 +275,49 @@
     }
 }
 
-async fn next_event(stream: &mut Streaming<pb::ForwardEvent>) -> Option<PbEvent> {
-    stream.message().await.ok().flatten()?.event
+async fn next_event(
+    stream: &mut Streaming<pb::ForwardEvent>,
+    connection: &Connection,
+) -> Option<PbEvent> {
+    let message = stream.message().await.ok().flatten()?;
+    connection.note_answer();
+    message.event
 }
 
-/// Passes on the parts of an answer; a stream that ends without an end event counts as cut.
-fn body(
+/// The rest of an answer that another node passes on.
+struct ForwardedAnswer {
     stream: Streaming<pb::ForwardEvent>,
+    connection: Connection,
     peer: SocketAddr,
-) -> impl futures::Stream<Item = AnswerPart> {
-    futures::stream::unfold(Some(stream), move |stream| async move {
-        let mut stream = stream?;
-        match next_event(&mut stream).await {
-            Some(PbEvent::Data(data)) => Some((AnswerPart::Data(Bytes::from(data)), Some(stream))),
+    clock: Clock,
+    deadline_ms: u64,
+}
+
+/// Passes on the parts of an answer; a stream that ends without an end event counts as cut.
+///
+/// A silent node may go on, so only the deadline ends the wait for it.
+fn body(source: ForwardedAnswer) -> impl futures::Stream<Item = AnswerPart> {
+    futures::stream::unfold(Some(source), |source| async move {
+        let mut source = source?;
+        let peer = source.peer;
+        let broken = |problem, detail| {
+            let failure = AttemptFailure::new(Outcome::Unknown, problem, detail);
+            Some((AnswerPart::Broken(failure), None))
+        };
+        let left_ms = source.deadline_ms.saturating_sub(source.clock.now_ms());
+        let event = next_event(&mut source.stream, &source.connection);
+        let Ok(event) = timeout(Duration::from_millis(left_ms), event).await else {
+            let detail = format!("{peer}: the deadline passed before the answer was complete");
+            return broken(ProblemKind::DeadlineExceeded, detail);
+        };
+        match event {
+            Some(PbEvent::Data(data)) => Some((AnswerPart::Data(Bytes::from(data)), Some(source))),
             Some(PbEvent::End(_)) => Some((AnswerPart::End, None)),
             Some(PbEvent::Failure(failure)) => {
                 Some((AnswerPart::Broken(failure_from_pb(failure, peer)), None))
             }
             Some(PbEvent::Head(_)) | None => {
-                let detail = format!("the answer of {peer} was cut");
-                let problem = ProblemKind::AnswerTruncated;
-                let failure = AttemptFailure::new(Outcome::Unknown, problem, detail);
-                Some((AnswerPart::Broken(failure), None))
+                broken(ProblemKind::AnswerTruncated, format!("the answer of {peer} was cut"))
             }
         }
     })
--- a/crates/node/tests/process/main.rs
+++ b/crates/node/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod checker;
 mod cold;
 mod drains;
+mod forwards;
 mod links;
 mod mixed;
 mod nodes;
