--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -50,13 +50,15 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Connection {
     channel: Channel,
+    created_at: Instant,
     /// When it was opened or last answered; `None` if neither is known.
     answered_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Connection {
     fn new(channel: Channel, answered_at: Option<Instant>) -> Self {
-        Self { channel, answered_at: Arc::new(Mutex::new(answered_at)) }
+        let answered_at = Arc::new(Mutex::new(answered_at));
+        Self { channel, created_at: Instant::now(), answered_at }
     }
 
     /// Returns a client that sends over this connection.
@@ -71,9 +73,17 @@
         *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
     }
 
+    fn answered_at(&self) -> Option<Instant> {
+        *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn answered_recently(&self) -> bool {
-        let answered_at = *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner);
-        answered_at.is_some_and(|answered_at| answered_at.elapsed() < RECENT_ANSWER)
+        self.answered_at().is_some_and(|answered_at| answered_at.elapsed() < RECENT_ANSWER)
+    }
+
+    /// Whether nothing has answered for a while, although the connection may be new.
+    fn is_silent(&self) -> bool {
+        self.answered_at().unwrap_or(self.created_at).elapsed() >= RECENT_ANSWER
     }
 
     fn is_same(&self, other: &Self) -> bool {
@@ -152,8 +162,9 @@
         let answer = timeout(limit, call).await;
         match &answer {
             Ok(Ok(_)) => connection.note_answer(),
-            Ok(Err(_)) => {}
-            Err(_) => self.forget(peer, connection),
+            // A call may be slow while others are answered over the same connection.
+            Err(_) if connection.is_silent() => self.forget(peer, connection),
+            Ok(Err(_)) | Err(_) => {}
         }
         Some(answer.ok()?.map(Response::into_inner))
     }
