Let reports on groups be renewed between the silences of the test

What was seen: `forwarded_answers_survive_silent_nodes_and_links` failed once with five requests of its fourth case that node 1 refused with 503 `not_run`, "NoGroup", within 16 ms, before the case's silence began.

Cause: the case before pauses all serving nodes for 3.5 s. The test went on as soon as the status listed the groups.

The cases and what they demand of the answers are unchanged.

--- a/crates/node/tests/process/forwards.rs
+++ b/crates/node/tests/process/forwards.rs
@@ -87,6 +87,8 @@
             eprintln!("{name}: {} of {} failed", cut.len(), ended.len());
             failed.extend(cut);
             calls.extend(ended);
+            // Reports on groups that grew old in the silence may still lapse, and requests be refused.
+            sleep(STOP_LIMIT).await;
             for node in FORWARDING {
                 bed.wait_groups(node, MODEL_GROUPS - 2, PLAIN_GROUPS - 1).await;
             }
