Share the memory of a large answer among the attempts of its request

Found by the review of: 12 answers above 32 KB without a stated length reserve all memory for answers. If their endpoint falls silent in the body, the second attempts of their requests run elsewhere and then wait at 32 KB for the memory that the silent first ones hold, and every other large answer of the node waits behind them, until the endpoint goes on or the deadlines pass.

A request now reserves memory once, for its first large answer; its other attempts share it.

Ruled out: counting the bytes that arrived, with a wait above the total; all attempts could then wait for each other. Not changed: at most 12 requests with large answers of no stated length are read at once.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -103,7 +103,7 @@
     accept_loops: AtomicUsize,
     pub open_connections: OpenConnections<Activity>,
     /// The bytes of memory that are left for large answers.
-    pub answer_memory: Semaphore,
+    pub answer_memory: Arc<Semaphore>,
     was_ready: AtomicBool,
 }
 
@@ -138,7 +138,7 @@
             connections: AtomicU64::new(0),
             accept_loops: AtomicUsize::new(0),
             open_connections: OpenConnections::default(),
-            answer_memory: Semaphore::new(plain::ANSWER_MEMORY_BYTES),
+            answer_memory: Arc::new(Semaphore::new(plain::ANSWER_MEMORY_BYTES)),
             was_ready: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,6 +1,7 @@
 //! Requests whose answer is a single body.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use balsam_fleet::Arrival;
@@ -19,6 +20,8 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::OnceCell;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -55,6 +58,7 @@
     let mut attempts = Attempts {
         shared,
         request,
+        memory: Arc::default(),
         open: FuturesUnordered::new(),
         tried: Vec::new(),
         counts: AttemptCounts::default(),
@@ -84,7 +88,9 @@
                 attempts.tried.push(placement.target.vm.clone());
                 attempts.running += 1;
                 late_at = attempts.allows_another().then(|| Instant::now() + target);
-                attempts.open.push(run_attempt(shared, request, number, placement).boxed());
+                let memory = attempts.memory.clone();
+                let attempt = run_attempt(shared, request, memory, number, placement);
+                attempts.open.push(attempt.boxed());
             }
             Step::Refused { number, refusal } => {
                 attempts.unfinished.remove(&number);
@@ -117,6 +123,10 @@
     }
 }
 
+/// The memory that the first large answer to a request reserves. Further attempts share it: if one
+/// waited for the memory of another, a silent endpoint would hold back the answers of all others.
+type AnswerMemory = OnceCell<Option<OwnedSemaphorePermit>>;
+
 /// What one attempt has reached.
 enum Step {
     Placed { number: u32, placement: Placement },
@@ -129,6 +139,7 @@
 struct Attempts<'a> {
     shared: &'a Shared,
     request: &'a Request,
+    memory: Arc<AnswerMemory>,
     open: FuturesUnordered<BoxFuture<'a, Step>>,
     tried: Vec<VmName>,
     /// The attempts that have ended.
@@ -206,13 +217,14 @@
 async fn run_attempt(
     shared: &Shared,
     request: &Request,
+    memory: Arc<AnswerMemory>,
     number: u32,
     mut placement: Placement,
 ) -> Step {
     let left = Duration::from_millis(request.left_ms());
     let exchange = async {
         let sent = attempt::send(shared, request, &placement.target, None).await?;
-        read_answer(shared, sent).await
+        read_answer(shared, &memory, sent).await
     };
     let result = match timeout(left, exchange).await {
         Ok(result) => result,
@@ -245,12 +257,12 @@
 /// none: its endpoint may have run the request, so that the answer could not be had again.
 async fn read_answer(
     shared: &Shared,
+    memory: &AnswerMemory,
     (mut conn, response): (Conn, Response<Incoming>),
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let (mut head, mut body) = response.into_parts();
     let stated_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let mut answer_bytes = BytesMut::new();
-    let mut reservation = None;
     while let Some(frame) = conn.driver.drive(body.frame()).await {
         let frame = frame.map_err(|error| attempt::body_read_failure(&error))?;
         let Ok(data) = frame.into_data() else { continue };
@@ -258,14 +270,14 @@
         if read_bytes.max(stated_bytes.unwrap_or(0)) > MAX_ANSWER_BYTES {
             return Err(AttemptFailure::Faulty("the answer exceeds the limit".to_owned()));
         }
-        if reservation.is_none() && read_bytes > UNRESERVED_ANSWER_BYTES {
+        if read_bytes > UNRESERVED_ANSWER_BYTES {
             let bytes = stated_bytes.unwrap_or(MAX_ANSWER_BYTES) as u32;
             // The semaphore is never closed.
-            reservation = shared.answer_memory.acquire_many(bytes).await.ok();
+            let reserve = || shared.answer_memory.clone().acquire_many_owned(bytes).map(Result::ok);
+            memory.get_or_init(reserve).await;
         }
         answer_bytes.extend_from_slice(&data);
     }
-    drop(reservation);
     let keep_alive = attempt::keep_alive_duration(&head.headers, shared.options.endpoint_idle());
     shared.client.return_connection(conn, keep_alive);
     remove_hop_by_hop(&mut head.headers);
