Count an attempt that waits for an endpoint against the limit of a plain request

The counter of accept loops also orders the count of connections before the end of a loop, for arm64.

Not reproduced: it needs the queued attempt to be sent between the timer and the placement.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -273,7 +273,7 @@
 
     /// Whether each connection has closed, and none waits to be accepted, after [`Front::close`].
     pub fn is_closed(&self) -> bool {
-        self.shared.accept_loops.load(Ordering::Relaxed) == 0 && self.connections() == 0
+        self.shared.accept_loops.load(Ordering::Acquire) == 0 && self.connections() == 0
     }
 }
 
@@ -289,7 +289,8 @@
 
 impl Drop for AcceptGuard {
     fn drop(&mut self) {
-        self.0.accept_loops.fetch_sub(1, Ordering::Relaxed);
+        // Its connections are counted before.
+        self.0.accept_loops.fetch_sub(1, Ordering::Release);
     }
 }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -177,7 +177,7 @@
 
     /// Whether another attempt is allowed beside the open ones.
     fn allows_another(&self) -> bool {
-        self.counts.allows_retry_beside(self.request, self.running)
+        self.counts.allows_retry_beside(self.request, self.unfinished.len() as u32)
     }
 
     /// Starts another attempt beside the newest one, whose answer is late.
