Let nodes that ran before a restore serve on

One node with a higher version could so stop all others.

A node now refuses by what another one has only if its first read came after the restore. One that ran before serves the version that it had, as it would have without the restore.

Ruled out: a bound on the number of nodes that refuse; nodes do not agree on it.

--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -133,8 +133,8 @@
     read_ms: Option<u64>,
     /// The position at which a read of this node last confirmed it.
     read_end: StorePosition,
-    /// When a read of this node first confirmed it.
-    first_read_ms: Option<u64>,
+    /// When and at which position a read of this node first confirmed it.
+    first_read: Option<(u64, StorePosition)>,
     /// When a read of any node last confirmed it.
     confirmed_ms: Option<u64>,
     /// The evacuated data centres as of the position.
@@ -176,13 +176,15 @@
 
     /// Returns the time since this node's first read; `None` before it.
     pub(crate) fn first_read_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.first_read_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+        self.first_read.map(|(at_ms, _)| now_ms.saturating_sub(at_ms))
     }
 
-    /// Whether the store came back from a copy so recently that the operators may not have written
-    /// again what it lacks.
+    /// Whether all that this node read is from a copy, and the store came back so recently that the
+    /// operators may not have written again what it lacks.
     pub(crate) fn may_lack_records(&self, now_ms: u64) -> bool {
-        self.position.is_restored() && now_ms < self.era_seen_ms + RETENTION_MS
+        let has_read_before = self.first_read.is_some_and(|(_, end)| !end.is_restored());
+        let is_recent = now_ms < self.era_seen_ms + RETENTION_MS;
+        self.position.is_restored() && is_recent && !has_read_before
     }
 
     /// Applies the result of a read; returns the resulting changes.
@@ -208,7 +210,7 @@
             OperatorsUpdate::Confirmed { end, as_of_ms } => {
                 self.enter_era(now_ms, end.era);
                 self.read_end = self.read_end.max(end);
-                self.first_read_ms.get_or_insert(now_ms);
+                self.first_read.get_or_insert((now_ms, end));
                 if end >= self.position {
                     self.position = end;
                     self.read_ms = self.read_ms.max(Some(as_of_ms));
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -287,11 +287,12 @@
         self.configuration_to_serve(now_ms).is_some() && self.directory.has_been_read()
     }
 
-    /// Returns the configuration for new requests; `None` before the first, and while a newer one is
-    /// known to be in force that the store lacks.
+    /// Returns the configuration for new requests; `None` before the first, and at a node that started
+    /// from a copy of the store while a newer one is known to be in force.
     ///
     /// A configuration from a copy would refuse what the newer one allows, and run what it refuses.
-    /// Neither is the case if the caller is sent to a node that has the newer one.
+    /// Neither is the case if the caller is sent to a node that has the newer one. A node that started
+    /// before the restore goes on: one node that alone has a newer version must not stop all others.
     pub fn configuration_to_serve(&self, now_ms: u64) -> Option<&Arc<Configuration>> {
         let awaits_reports = self.operators.may_lack_records(now_ms) && {
             let has_waited = self.operators.first_read_age_ms(now_ms) >= Some(FIRST_REPORT_WAIT_MS);
--- a/crates/fleet/tests/fleet/restored_configuration.rs
+++ b/crates/fleet/tests/fleet/restored_configuration.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// Guards against one node with a version that the store lost making all running nodes refuse.
+#[test]
+fn a_node_that_started_before_the_restore_goes_on() {
+    let mut fleet = starting_node(StorePosition { era: 1, offset: 5 });
+    let restored_ms = STARTED_MS + 5_000;
+    let read = OperatorsUpdate::Confirmed { end: restored(5), as_of_ms: restored_ms };
+    reduce(&mut fleet, restored_ms, Event::Operators(read));
+    apply_report(&mut fleet, restored_ms + 100, 7, restored(5));
+    assert!(fleet.is_ready(restored_ms + 200));
+    assert!(fleet.configuration_to_serve(restored_ms + 200).is_some());
+}
+
 /// Guards against refusing requests for as long as it takes to forget a node that is gone, and after
 /// the newer version was read.
 #[rstest]
