Name the final error of a stream, and state which calls avoid a silent connection

For readers: StreamReader::end did not end anything, one comment claimed more than the peer client does, one line was too long.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -8,7 +8,8 @@
 //!
 //! The store that keeps the records may come back from a copy and begin a new era without the last
 //! ones, or without any. A holder then keeps its lease until its end and must renew it in the new
-//! era; nobody else takes it before that end, nor does a node that starts meanwhile. See `docs/incidents/restored-store.md`.
+//! era; nobody else takes it before that end, nor does a node that starts meanwhile. See
+//! `docs/incidents/restored-store.md`.
 
 use crate::position::StorePosition;
 
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -39,7 +39,8 @@
 /// Connections to other entry nodes, opened when first used.
 ///
 /// A node that is paused or starved of processor time may go on at any moment, so no silence ends a
-/// connection. One that is silent gets no new calls and closes after its last open answer.
+/// connection. One that is silent gets no further forwarded requests, no other calls after one has
+/// timed out, and closes after its last open answer.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerClients {
     me: Incarnation,
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -145,7 +145,7 @@
     /// The attempts that have ended.
     counts: AttemptCounts,
     last_number: u32,
-    /// The numbers of the open attempts.
+    /// The numbers of the open attempts, placed or not.
     unfinished: BTreeSet<u32>,
     /// Number of open attempts that were assigned to an endpoint, which may run each of them.
     running: u32,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -269,7 +269,7 @@
             let polled = poll_fn(|cx| poll_any(upstreams, cx));
             let Some((index, progress)) = self.read_timer.wait(polled, limit).await else {
                 if self.request.left_ms() == 0 {
-                    return Err(self.end(StreamError::Failed(RequestFailure::TimedOut)));
+                    return Err(self.final_error(StreamError::Failed(RequestFailure::TimedOut)));
                 }
                 if self.silent_at().is_some_and(|at| Instant::now() >= at) {
                     self.try_elsewhere("silent");
@@ -361,7 +361,7 @@
     fn on_refusal(&mut self, index: usize, refusal: Refusal) -> Result<(), StreamError> {
         self.upstreams.remove(index);
         if self.upstreams.is_empty() {
-            return Err(self.end(StreamError::Refused(refusal)));
+            return Err(self.final_error(StreamError::Refused(refusal)));
         }
         self.retry_at = Some(Instant::now() + EVENT_TIMEOUT);
         Ok(())
@@ -405,12 +405,12 @@
                 retry_after_ms: self.shared.options.turned_away_retry_after_ms,
             },
         });
-        Err(self.end(failure))
+        Err(self.final_error(failure))
     }
 
     /// Returns how the request ends without another event. An endpoint's error answer is more
     /// informative than the lack of another endpoint.
-    fn end(&mut self, failure: StreamError) -> StreamError {
+    fn final_error(&mut self, failure: StreamError) -> StreamError {
         self.error_answer.take().map_or(failure, StreamError::Answer)
     }
 
