--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -114,15 +114,25 @@
     Ok(Some(body))
 }
 
-/// Serves each connection of a listener in a thread; a handler returns whether it goes on.
-pub fn serve<H>(listener: TcpListener, handle: H)
+/// How often a listener checks for connections and for its end.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Serves each connection of a listener in a thread; a handler returns whether it goes on. The listener
+/// closes when `has_ended` says so.
+pub fn serve<H, E>(listener: TcpListener, has_ended: E, handle: H)
 where
     H: Fn(&Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+    E: Fn() -> bool + Send + 'static,
 {
     let handle = Arc::new(handle);
+    listener.set_nonblocking(true).unwrap();
     thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { continue };
+        while !has_ended() {
+            let Ok((mut stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
             let handle = handle.clone();
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,11 +4,14 @@
 //! scenario, writes `FOLDER/record.txt` and exits with 1 if the rule was broken, 0 if it held and 2 if
 //! the scenario could not run. `TROUBLE=0` leaves the disruption out.
 
+mod common;
 mod http;
 mod late_orders;
 mod node;
 mod runner;
 mod store;
+mod stray_entry;
+mod stray_sequence;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,6 +23,8 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match scenario.as_str() {
         "late-orders" => late_orders::play(&folder, has_trouble),
+        "stray-entry" => stray_entry::play(&folder, has_trouble),
+        "stray-sequence" => stray_sequence::play(&folder, has_trouble),
         _ => Err(format!("unknown scenario {scenario:?}")),
     };
     match result {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -29,6 +29,9 @@
 pub const EVENTS: u64 = 8;
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Time for which a request of a plain service runs.
+const PLAIN_WORK: Duration = Duration::from_millis(150);
+
 /// What happened, with the time since the start, for `record.txt`.
 pub struct Record {
     started: Instant,
@@ -106,6 +109,7 @@
     fleet: Arc<Fleet>,
     born: u64,
     sequence: AtomicU64,
+    runs: AtomicU64,
     life: Mutex<Life>,
 }
 
@@ -152,12 +156,15 @@
             fleet: fleet.clone(),
             born: now.as_millis() as u64,
             sequence: AtomicU64::new(0),
+            runs: AtomicU64::new(0),
             life: Mutex::default(),
         });
         fleet.runners.lock().unwrap().insert(id.to_owned(), runner.clone());
         fleet.record.line(&format!("runner {id} of {service} starts at {}", runner.address));
         let handler = runner.clone();
-        serve(listener, move |request, stream| handler.clone().handle(request, stream));
+        let ending = runner.clone();
+        let has_ended = move || ending.life.lock().unwrap().has_ended;
+        serve(listener, has_ended, move |request, stream| handler.clone().handle(request, stream));
         runner.write_entry();
         let beating = runner.clone();
         thread::spawn(move || {
@@ -187,6 +194,42 @@
         self.fleet.record.line(&format!("runner {} has left", self.id));
     }
 
+    /// Writes an entry of another writer under the id of this runner: a copy of the runner's own entry,
+    /// with a service that the configuration does not name.
+    pub fn write_entry_of_another_writer(&self, service: &str) {
+        let sequence = self.sequence.load(Ordering::Relaxed).saturating_sub(1);
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\
+             \"state\":\"ready\",\"cold_remaining_ms\":0,\"domain\":\"d0\",\"staged\":[\"m\"],\
+             \"born\":{},\"sequence\":{sequence}}}",
+            self.address, self.born
+        );
+        self.fleet.record.line(&format!("another writer writes under {}: {entry}", self.id));
+        self.store.put("keyed.servers", &self.id, entry.as_bytes());
+    }
+
+    /// Writes an entry of another writer under the id of this runner: a copy of the runner's own entry
+    /// without the field `version`, and with a sequence of the writer's own, the Unix time.
+    pub fn write_entry_without_version(&self) {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let entry = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\
+             \"cold_remaining_ms\":0,\"domain\":\"d0\",\"staged\":[\"m\"],\"born\":{},\"sequence\":{},\
+             \"group\":null}}",
+            self.service,
+            self.address,
+            self.born,
+            now.as_secs()
+        );
+        self.fleet.record.line(&format!("another writer writes under {}: {entry}", self.id));
+        self.store.put("keyed.servers", &self.id, entry.as_bytes());
+    }
+
+    /// Returns the number of requests that the runner has begun to run.
+    pub fn runs(&self) -> u64 {
+        self.runs.load(Ordering::Relaxed)
+    }
+
     fn write_entry(&self) {
         let life = self.life.lock().unwrap();
         let state = if life.is_draining { "draining" } else { "ready" };
@@ -387,11 +430,17 @@
             return answer(stream, 421, &format!("x-request-id: {id}\r\nx-not-executed: 1\r\n"), b"");
         }
         *self.fleet.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+        self.runs.fetch_add(1, Ordering::Relaxed);
         let group = serving.as_ref().map(|m| m.group.clone()).unwrap_or_default();
         self.fleet.record.line(&format!("runner {} {group} runs {id}", self.id));
         let seal = format!("x-request-id: {id}\r\nx-response-seal: seal-{}\r\n", self.id);
         let Some(serving) = serving else {
-            thread::sleep(Duration::from_millis(30));
+            thread::sleep(PLAIN_WORK);
+            // The end of the process cuts what it runs.
+            if self.life.lock().unwrap().has_ended {
+                self.fleet.record.line(&format!("runner {} ends and cuts {id}", self.id));
+                return false;
+            }
             return answer(stream, 200, &seal, &request.body);
         };
         let head = format!(
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -26,7 +26,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let store = self.clone();
-        serve(listener, move |request, stream| store.handle(request, stream));
+        serve(listener, || false, move |request, stream| store.handle(request, stream));
         address
     }
 
