--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod store;
 mod stray_entry;
 mod stray_sequence;
+mod tenant_name;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
         "late-orders" => late_orders::play(&folder, has_trouble),
         "stray-entry" => stray_entry::play(&folder, has_trouble),
         "stray-sequence" => stray_sequence::play(&folder, has_trouble),
+        "tenant-name" => tenant_name::play(&folder, has_trouble),
         _ => Err(format!("unknown scenario {scenario:?}")),
     };
     match result {
