--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A warnings -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -36,9 +36,9 @@
 /// Returns the id of the runner that is the open head of a group.
 pub fn open_head(fleet: &Fleet) -> Option<String> {
     let runners = fleet.runners.lock().unwrap();
-    let head = runners.values().find(|runner| {
-        runner.membership().is_some_and(|m| m.rank == 0 && m.state == State::Open)
-    });
+    let head = runners
+        .values()
+        .find(|runner| runner.membership().is_some_and(|m| m.rank == 0 && m.state == State::Open));
     head.map(|runner| runner.id.clone())
 }
 
@@ -56,7 +56,12 @@
         let text = match answer {
             None => "no answer".to_owned(),
             Some(answer) => {
-                format!("{}, {} bytes, whole: {}", answer.status, answer.body.len(), answer.is_complete)
+                format!(
+                    "{}, {} bytes, whole: {}",
+                    answer.status,
+                    answer.body.len(),
+                    answer.is_complete
+                )
             }
         };
         record.line(&format!("caller of {id} got {text}"));
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -10,7 +10,6 @@
 /// A request as received.
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     /// The path with the query.
     pub target: String,
     pub headers: BTreeMap<String, String>,
@@ -61,10 +60,10 @@
         return Ok(None);
     }
     let mut parts = line.split_whitespace().map(str::to_owned);
-    let (Some(method), Some(target)) = (parts.next(), parts.next()) else { return Ok(None) };
+    let Some(target) = parts.nth(1) else { return Ok(None) };
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers)?.unwrap_or_default();
-    Ok(Some(Request { method, target, headers, body }))
+    Ok(Some(Request { target, headers, body }))
 }
 
 fn read_headers(reader: &mut BufReader<TcpStream>) -> io::Result<BTreeMap<String, String>> {
@@ -160,7 +159,6 @@
 #[derive(Debug, Clone)]
 pub struct Answer {
     pub status: u16,
-    pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
     /// Whether the body arrived up to its end.
     pub is_complete: bool,
@@ -179,7 +177,7 @@
     let body = read_body(&mut reader, &headers);
     let is_complete = body.is_ok();
     let body = body.ok().flatten().unwrap_or_default();
-    Some(Answer { status, headers, body, is_complete })
+    Some(Answer { status, body, is_complete })
 }
 
 /// A JSON value.
--- a/review/standin/late_orders.rs
+++ b/review/standin/late_orders.rs
@@ -51,7 +51,9 @@
     thread::sleep(Duration::from_secs(2));
     let leaving = runners.pop().ok_or("no runner")?;
     let left = thread::spawn(move || leaving.drain(Duration::from_millis(4_000)));
-    wait("the head has left its group", 10, || fleet.get("i-1").is_some_and(|r| r.membership().is_none()))?;
+    wait("the head has left its group", 10, || {
+        fleet.get("i-1").is_some_and(|r| r.membership().is_none())
+    })?;
     left.join().map_err(|_| "the runner did not leave")?;
     // Planned work: an empty runner is added, once the late orders were carried out.
     match has_trouble {
@@ -62,7 +64,8 @@
     Runner::start(&fleet, &store, "pool", "i-3");
     wait("a group with the new runner is open", 20, || {
         let head = open_head(&fleet).and_then(|id| fleet.get(&id));
-        head.and_then(|head| head.membership()).is_some_and(|m| m.members.iter().any(|id| id == "i-3"))
+        head.and_then(|head| head.membership())
+            .is_some_and(|m| m.members.iter().any(|id| id == "i-3"))
             || !fleet.violations.lock().unwrap().is_empty()
     })?;
     thread::sleep(Duration::from_secs(2));
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -145,7 +145,12 @@
 
 impl Runner {
     /// Starts a runner on a free port and registers it.
-    pub fn start(fleet: &Arc<Fleet>, store: &Arc<Store>, service: &'static str, id: &str) -> Arc<Self> {
+    pub fn start(
+        fleet: &Arc<Fleet>,
+        store: &Arc<Store>,
+        service: &'static str,
+        id: &str,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
         let runner = Arc::new(Self {
@@ -237,7 +242,10 @@
             None => "null".to_owned(),
             Some(m) => format!(
                 "{{\"name\":\"{}\",\"epoch\":{},\"rank\":{},\"state\":\"{}\"}}",
-                m.group, m.epoch, m.rank, m.state.name()
+                m.group,
+                m.epoch,
+                m.rank,
+                m.state.name()
             ),
         };
         let entry = format!(
@@ -259,7 +267,9 @@
         let is_other = request.header("x-expect-instance").is_some_and(|id| id != self.id);
         match request.path() {
             _ if is_other => answer(stream, 421, "x-not-executed: 1\r\n", b""),
-            "/report" => answer(stream, 200, "content-type: application/json\r\n", b"{\"stage\":\"both\"}"),
+            "/report" => {
+                answer(stream, 200, "content-type: application/json\r\n", b"{\"stage\":\"both\"}")
+            }
             "/order" => self.take_order(request, stream),
             _ => self.run(request, stream),
         }
@@ -280,7 +290,10 @@
                 thread::sleep(delay);
                 let status = runner.carry_out(&order);
                 let id = &runner.id;
-                runner.fleet.record.line(&format!("runner {id} carries out late ({status}): {text}"));
+                runner
+                    .fleet
+                    .record
+                    .line(&format!("runner {id} carries out late ({status}): {text}"));
             });
             thread::sleep(Duration::from_secs(3));
             return false;
@@ -295,9 +308,11 @@
         let group = order.get("group").text().to_owned();
         let epoch = order.get("epoch").number();
         match order.get("operation").text() {
-            "join" => self.join(&group, epoch, order.get("model").text(), order.get("members").texts()),
+            "join" => {
+                self.join(&group, epoch, order.get("model").text(), order.get("members").texts())
+            }
             "open" => self.open(&group, epoch),
-            "close" => self.change(&group, epoch, State::Ready),
+            "close" => self.close(&group, epoch),
             "leave" => {
                 let mut life = self.life.lock().unwrap();
                 let is_member =
@@ -333,8 +348,7 @@
         let time = if life.last_model == model { REJOIN } else { WARM_JOIN };
         life.last_model = model.to_owned();
         let state = State::Joining;
-        life.membership =
-            Some(Membership { group: group.to_owned(), epoch, members, rank, state });
+        life.membership = Some(Membership { group: group.to_owned(), epoch, members, rank, state });
         drop(life);
         if let Some(before) = before {
             self.check_join(&before, group);
@@ -389,6 +403,24 @@
         }
     }
 
+    /// Takes no more requests and is ready again when those that run have ended.
+    fn close(self: &Arc<Self>, group: &str, epoch: u64) -> u16 {
+        if self.fleet.state_in(&self.id, group, epoch) != Some(State::Open) {
+            return 200;
+        }
+        self.change(group, epoch, State::Closing);
+        let (runner, group) = (self.clone(), group.to_owned());
+        thread::spawn(move || {
+            while runner.life.lock().unwrap().running > 0 {
+                thread::sleep(Duration::from_millis(10));
+            }
+            if runner.fleet.state_in(&runner.id, &group, epoch) == Some(State::Closing) {
+                runner.change(&group, epoch, State::Ready);
+            }
+        });
+        202
+    }
+
     /// Enters a state of a group, if the runner is still a member of it.
     fn change(&self, group: &str, epoch: u64, state: State) -> u16 {
         let mut life = self.life.lock().unwrap();
@@ -413,7 +445,8 @@
                 let life = runner.life.lock().unwrap();
                 let own = life.membership.as_ref();
                 !life.has_ended
-                    && own.is_some_and(|m| m.group == membership.group && m.epoch == membership.epoch)
+                    && own
+                        .is_some_and(|m| m.group == membership.group && m.epoch == membership.epoch)
             })
         })
     }
@@ -427,7 +460,12 @@
         let is_model = request.header("x-model-name").is_some();
         let serving = membership.filter(|m| m.rank == 0 && m.state == State::Open);
         if is_model && serving.is_none() {
-            return answer(stream, 421, &format!("x-request-id: {id}\r\nx-not-executed: 1\r\n"), b"");
+            return answer(
+                stream,
+                421,
+                &format!("x-request-id: {id}\r\nx-not-executed: 1\r\n"),
+                b"",
+            );
         }
         *self.fleet.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
         self.runs.fetch_add(1, Ordering::Relaxed);
--- a/review/standin/stray_sequence.rs
+++ b/review/standin/stray_sequence.rs
@@ -63,7 +63,9 @@
     let lost = lost.lock().unwrap().clone();
     record.line(&format!("orders without success: {lost:?}"));
     println!("orders without success: {lost:?}");
-    println!("DRAIN: {late} requests ran at l-1 later than 2,000 ms after the store accepted `draining`");
+    println!(
+        "DRAIN: {late} requests ran at l-1 later than 2,000 ms after the store accepted `draining`"
+    );
     Ok(late == 0)
 }
 
