--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod choice;
 pub mod configuration;
+mod cost;
 pub mod demand;
 pub mod directory;
 pub mod endpoint;
@@ -44,3 +45,4 @@
 pub use reduce::reduce;
 pub use state::Fleet;
 pub use state::FleetSettings;
+pub use state::LoadPolicy;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use balsam_types::DataCentreName;
-use balsam_types::ModelName;
 use balsam_types::VmName;
 
 use crate::choice;
@@ -11,8 +10,7 @@
 use crate::choice::choose;
 use crate::choice::read_wait_ms;
 use crate::configuration::Configuration;
-use crate::demand;
-use crate::demand::Work;
+use crate::cost;
 use crate::directory::LIST_OUTAGE_MS;
 use crate::directory::ListChange;
 use crate::endpoint::Endpoint;
@@ -277,7 +275,7 @@
     refusal: Refusal,
     effects: &mut Vec<Effect>,
 ) {
-    if let Some((model, work)) = work_of(fleet, arrival) {
+    if let Some((model, work)) = cost::expected_work(fleet, arrival) {
         fleet.demand.refused(now_ms, &model, &work);
     }
     effects.push(Effect::Refuse { attempt_id: arrival.attempt_id, refusal });
@@ -310,19 +308,11 @@
 }
 
 fn count_demand(fleet: &mut Fleet, now_ms: u64, arrival: &Arrival) {
-    if let Some((model, work)) = work_of(fleet, arrival) {
+    if let Some((model, work)) = cost::expected_work(fleet, arrival) {
         fleet.demand.arrived(now_ms, &model, &work);
     }
 }
 
-/// Returns the model of a request and the time for which the request occupies a full group.
-fn work_of(fleet: &Fleet, arrival: &Arrival) -> Option<(ModelName, Work)> {
-    let (_, engine) = fleet.engine_pool()?;
-    let model = engine.model(arrival.model.as_ref()?)?;
-    let work = demand::work(engine, model, arrival.prompt_tokens, arrival.answer_tokens);
-    Some((model.name.clone(), work))
-}
-
 fn dispatch(
     fleet: &mut Fleet,
     now_ms: u64,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -64,6 +64,20 @@
     pub retry_slack: f64,
     /// Maximum time for which the node may lack confirmation that the operators changed nothing.
     pub operators_max_age_ms: u64,
+    /// Which decisions under load the deployment asks for.
+    pub load_policy: LoadPolicy,
+}
+
+/// Decisions under load that a deployment asks for; see `docs/design/admission-by-work.md` and
+/// `docs/design/request-cost.md`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadPolicy {
+    /// Queued requests are ordered, shared out and refused by the work ahead of them, rather than by
+    /// their number.
+    pub admits_by_work: bool,
+    /// Requests are placed by what they are expected to cost and by the work that each endpoint still
+    /// has to do.
+    pub places_by_cost: bool,
 }
 
 /// Another node, or a data centre known by its summary, according to its last report.
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -10,6 +10,7 @@
 use balsam_fleet::Endpoint;
 use balsam_fleet::Fleet;
 use balsam_fleet::FleetSettings;
+use balsam_fleet::LoadPolicy;
 use balsam_fleet::configuration::CallerLimits;
 use balsam_fleet::configuration::Engine;
 use balsam_fleet::configuration::Model;
@@ -101,6 +102,7 @@
         retry_ratio: 0.2,
         retry_slack: 100.0,
         operators_max_age_ms: OPERATORS_MAX_AGE_MS,
+        load_policy: LoadPolicy::default(),
     })
 }
 
--- a/crates/relay/tests/newer_configuration.rs
+++ b/crates/relay/tests/newer_configuration.rs
@@ -8,6 +8,7 @@
 use balsam_fleet::Configuration;
 use balsam_fleet::Event;
 use balsam_fleet::FleetSettings;
+use balsam_fleet::LoadPolicy;
 use balsam_fleet::StorePosition;
 use balsam_fleet::event::OrderAnswer;
 use balsam_fleet::event::ProbeAnswer;
@@ -34,6 +35,7 @@
         retry_ratio: 0.2,
         retry_slack: 100.0,
         operators_max_age_ms: 4_000,
+        load_policy: LoadPolicy::default(),
     };
     let calls = EndpointCalls {
         probe: Arc::new(|_| Box::pin(async { ProbeAnswer::Alive })),
