Learn from rejections which requests an endpoint holds unknown to this node

A node that has just started, or that lost sight of the others, took endpoints for free that others had filled. An endpoint that turns a request away now counts as holding as many requests as it may, the unknown part of which is assumed to end within about a second; a node that is heard again clears it.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -3,6 +3,8 @@
 //! Handles callers that compete for too little room for seconds. See
 //! `docs/design/admission-by-work.md`.
 
+use balsam_types::VmName;
+
 use crate::choice;
 use crate::cost;
 use crate::event::Arrival;
@@ -131,6 +133,20 @@
     Refusal { reason: RefuseReason::Overloaded, retry_after_ms }
 }
 
+/// Learns from an endpoint that turned a request away how many requests it has that are unknown here.
+pub(crate) fn turned_away(fleet: &mut Fleet, now_ms: u64, vm: &VmName) {
+    if !fleet.settings.load_policy.admits_by_work {
+        return;
+    }
+    let Some((kind, server)) = fleet.serving.all().find(|(_, server)| server.vm == *vm) else {
+        return;
+    };
+    let pool = fleet.configuration.as_ref().and_then(|c| c.pools.get(&kind.pool));
+    let Some(limit) = pool.map(|pool| choice::max_in_flight(pool, server)) else { return };
+    let known = fleet.loads.get(vm).map_or(0, |load| load.total(now_ms).0);
+    fleet.hidden_load.turned_away(now_ms, vm, limit, known);
+}
+
 /// Dispatches queued requests while there is capacity.
 ///
 /// A request that no group can read now is passed over for one that a group can, but only a few
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -141,18 +141,23 @@
     fleet.waiting.next(now_ms, kind).is_none() && fleet.serving.of(kind).iter().any(|s| is_free(&s))
 }
 
+/// Returns how many requests an endpoint may hold.
+pub(crate) fn max_in_flight(pool: &PoolConfig, server: &Server) -> u32 {
+    match pool.engine {
+        Some(_) => server.slots,
+        None => server.slots.saturating_add(PLAIN_QUEUE_LEN),
+    }
+}
+
 fn has_capacity(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
     let load = fleet.loads.get(&server.vm);
     let in_flight = load.map_or(0, |load| load.total(now_ms).0);
-    let limit = match pool.engine {
-        Some(_) => server.slots,
-        None => server.slots.saturating_add(PLAIN_QUEUE_LEN),
-    };
     let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
     let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
     let is_open =
         !is_cold || load.is_some_and(|load| load.cold_allowance.has_room(now_ms, cold_per_s));
-    in_flight < limit && is_open
+    in_flight.saturating_add(fleet.hidden_load.of(now_ms, &server.vm)) < max_in_flight(pool, server)
+        && is_open
 }
 
 /// Refills this node's share of the cold-start limits.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod formation;
 mod head_evidence;
+mod hidden_load;
 pub mod lease;
 pub mod load;
 mod losses;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -381,6 +381,9 @@
         return;
     };
     update_reachability(fleet, now_ms, &running.vm, outcome, effects);
+    if outcome == AttemptOutcome::TurnedAway {
+        admission::turned_away(fleet, now_ms, &running.vm);
+    }
     let Some(dispatched) = fleet.dispatched.remove(&attempt_id) else { return };
     if outcome == AttemptOutcome::Closed {
         fleet.quarantine.closed(now_ms, &running.vm, running.sent_ms);
@@ -488,7 +491,9 @@
         doubted_heads,
         heads,
     };
-    fleet.peers.insert(node, peer);
+    if fleet.peers.insert(node, peer).is_none() {
+        fleet.hidden_load.clear();
+    }
 }
 
 /// Removes the individual nodes of a data centre, which its summary replaces.
@@ -527,13 +532,14 @@
     let mut unserved = fleet.waiting.kinds();
     unserved.retain(|kind| capacity(fleet, now_ms, kind).total == 0);
     for kind in &unserved {
-        refuse_unservable(fleet, now_ms, kind, effects);
+        servability::refuse_queued(fleet, now_ms, kind, effects);
     }
     if fleet.settings.load_policy.admits_by_work {
         for kind in fleet.waiting.kinds() {
             admission::refuse_hopeless(fleet, now_ms, &kind, effects);
         }
         fleet.waiting.expire_shares(now_ms);
+        fleet.hidden_load.expire(now_ms);
     }
     for (arrival, refusal) in fleet.waiting.expired(now_ms, |kind| !unserved.contains(kind)) {
         refuse_unserved(fleet, now_ms, &arrival, refusal, effects);
@@ -568,27 +574,6 @@
     }
 }
 
-/// Refuses the queued requests of a kind that can no longer be served in time.
-fn refuse_unservable(
-    fleet: &mut Fleet,
-    now_ms: u64,
-    kind: &RequestKind,
-    effects: &mut Vec<Effect>,
-) {
-    let refused: Vec<_> = fleet
-        .waiting
-        .of(kind)
-        .filter_map(|arrival| {
-            let refusal = servability::refusal(fleet, now_ms, kind, arrival)?;
-            Some((arrival.clone(), refusal))
-        })
-        .collect();
-    for (arrival, refusal) in refused {
-        fleet.waiting.remove(kind, arrival.attempt_id);
-        refuse_unserved(fleet, now_ms, &arrival, refusal, effects);
-    }
-}
-
 fn plan(fleet: &mut Fleet, now_ms: u64, effects: &mut Vec<Effect>) {
     let heads = fleet.head_verdicts(now_ms);
     let Fleet { configuration, directory, demand, suspicions, planner, operators, .. } = fleet;
--- a/crates/fleet/src/servability.rs
+++ b/crates/fleet/src/servability.rs
@@ -6,9 +6,11 @@
 use crate::choice::capacity;
 use crate::endpoint::MemberState;
 use crate::event::Arrival;
+use crate::event::Effect;
 use crate::event::Refusal;
 use crate::event::RefuseReason;
 use crate::formation;
+use crate::reduce::refuse_unserved;
 use crate::serving::RequestKind;
 use crate::serving::Server;
 use crate::state::Fleet;
@@ -51,6 +53,27 @@
     Some(waiting::refusal(RefuseReason::NoEndpoint, wait_ms))
 }
 
+/// Refuses the queued requests of a kind that can no longer be served in time.
+pub(crate) fn refuse_queued(
+    fleet: &mut Fleet,
+    now_ms: u64,
+    kind: &RequestKind,
+    effects: &mut Vec<Effect>,
+) {
+    let refused: Vec<_> = fleet
+        .waiting
+        .of(kind)
+        .filter_map(|arrival| {
+            let refusal = refusal(fleet, now_ms, kind, arrival)?;
+            Some((arrival.clone(), refusal))
+        })
+        .collect();
+    for (arrival, refusal) in refused {
+        fleet.waiting.remove(kind, arrival.attempt_id);
+        refuse_unserved(fleet, now_ms, &arrival, refusal, effects);
+    }
+}
+
 /// Whether a server is neither evacuated nor the head of a lost group.
 fn is_available(fleet: &Fleet, server: &Server) -> bool {
     let is_lost = |(group, epoch): &(_, u64)| fleet.suspicions.is_lost(group, *epoch);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -33,6 +33,7 @@
 use crate::head_evidence::NodeCount;
 use crate::head_evidence::ReceivedReport;
 use crate::head_evidence::SILENT_NODE_RETENTION_MS;
+use crate::hidden_load::HiddenLoad;
 use crate::lease::Lease;
 use crate::load::LoadTable;
 use crate::operators::OperatorsView;
@@ -196,6 +197,7 @@
     pub planner: Planner,
     /// Heads that the planning node asks about.
     pub(crate) inquiries: HeadInquiries,
+    pub(crate) hidden_load: HiddenLoad,
     pub(crate) budgets: BTreeMap<PoolName, RetryBudget>,
     pub(crate) peers: BTreeMap<Arc<str>, Peer>,
     pub(crate) store_lost_ms: Option<u64>,
@@ -232,6 +234,7 @@
             lease: Lease::new(LEASE_TTL_MS, LEASE_RENEW_MS),
             planner: Planner::default(),
             inquiries: HeadInquiries::default(),
+            hidden_load: HiddenLoad::default(),
             budgets: BTreeMap::new(),
             peers: BTreeMap::new(),
             store_lost_ms: None,
--- a/crates/fleet/tests/fleet/admission.rs
+++ b/crates/fleet/tests/fleet/admission.rs
@@ -1,5 +1,15 @@
 //! Tests of admission by work.
 
+use balsam_fleet::Arrival;
+use balsam_fleet::Effect;
+use balsam_fleet::Event;
+use balsam_fleet::Fleet;
+use balsam_fleet::LoadPolicy;
+use balsam_fleet::Refusal;
+use balsam_fleet::directory::ListChange;
+use balsam_fleet::event::AttemptOutcome;
+use balsam_fleet::reduce;
+use balsam_types::OrganisationName;
 use rstest::rstest;
 
 use crate::admission_replay::AGGRESSIVE;
@@ -7,6 +17,9 @@
 use crate::admission_replay::Request;
 use crate::admission_replay::Scenario;
 use crate::admission_replay::replay;
+use crate::support;
+use crate::support::arrival;
+use crate::support::dispatched;
 
 /// Guards against serving some callers at the expense of others when there is too little room: small
 /// organisations, large requests, less urgent ones before urgent ones, and callers that wait as long
@@ -27,7 +40,100 @@
     assert!(other <= urgent + 0.05, "{both}");
     let aggressive = after.served(|request| request.organisation == AGGRESSIVE);
     assert!(aggressive <= served + 0.05, "{both}");
-    let in_time =
-        |outcome: &crate::admission_replay::Outcome| outcome.share(|_| true, Request::is_in_time);
+    let in_time = |outcome: &Outcome| outcome.share(|_| true, Request::is_in_time);
     assert!(in_time(&after) > in_time(&before), "{both}");
 }
+
+/// Guards against nodes that fill endpoints beyond their slots, and against callers starved by it:
+/// one that starts within a burst, and those that lose sight of each other.
+#[rstest]
+#[case::starts_late(true, None, 0.25)]
+#[case::loses_sight(false, Some(13_500), 0.6)]
+fn a_node_that_knows_little_learns_from_rejections(
+    #[case] starts_late: bool,
+    #[case] cut_ms: Option<u64>,
+    #[case] most_rejected: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let scenario = |admits_by_work| Scenario {
+        starts_late,
+        cut_ms,
+        lost_groups: 0,
+        ..Scenario::new(seed, admits_by_work)
+    };
+    let (before, after) = (replay(scenario(false)), replay(scenario(true)));
+    let both = format!("by number: {}; by work: {}", before.summary(), after.summary());
+    assert!(f64::from(after.rejected) <= f64::from(before.rejected) * most_rejected, "{both}");
+    assert!(after.worst_organisation() >= after.served(|_| true) / 4.0, "{both}");
+    assert!(after.served(|_| true) >= before.served(|_| true) - 0.01, "{both}");
+}
+
+fn full_group() -> Fleet {
+    let mut fleet = support::fleet("node");
+    fleet.settings.load_policy = LoadPolicy { admits_by_work: true, ..LoadPolicy::default() };
+    reduce(&mut fleet, 1_000, Event::Configuration(support::configuration(1).into()));
+    let heads = [1, 2].map(|port| support::head(&format!("head{port}"), port));
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(heads.to_vec())));
+    for attempt_id in 1..=34 {
+        reduce(&mut fleet, 1_000, Event::Arrive(arrival(attempt_id, 1_000)));
+        reduce(&mut fleet, 1_000, Event::Started(attempt_id));
+    }
+    fleet
+}
+
+fn refusals(effects: &[Effect]) -> Vec<(u64, Refusal)> {
+    let refusal = |effect: &Effect| match effect {
+        Effect::Refuse { attempt_id, refusal } => Some((*attempt_id, *refusal)),
+        _ => None,
+    };
+    effects.iter().filter_map(refusal).collect()
+}
+
+/// Guards against holding a request that cannot be served, and against callers that are all asked to
+/// return at the same time or later than they can.
+#[test]
+fn what_cannot_be_served_is_refused_at_once_and_returns_spread() {
+    let mut fleet = full_group();
+    let mut delays_ms = Vec::new();
+    for attempt_id in 100..160 {
+        let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(attempt_id, 1_010)));
+        delays_ms.extend(refusals(&effects).iter().map(|(_, refusal)| refusal.retry_after_ms));
+    }
+    assert!(delays_ms.len() > 40, "{delays_ms:?}");
+    assert!(delays_ms.iter().all(|ms| (100..=8_000 / 3).contains(ms)), "{delays_ms:?}");
+    let (first, last) = (delays_ms[0], delays_ms[delays_ms.len() - 1]);
+    assert!(last > first + 500, "{delays_ms:?}");
+}
+
+/// Guards against keeping queued requests for capacity that was lost: they are refused with the next
+/// tick, and those that are left can be served.
+#[test]
+fn the_loss_of_a_group_refuses_what_it_would_have_served() {
+    let mut fleet = full_group();
+    for attempt_id in 100..110 {
+        reduce(&mut fleet, 1_010, Event::Arrive(arrival(attempt_id, 1_010)));
+    }
+    let waiting = fleet.waiting.len();
+    let removed = ListChange::Removed(support::vm("head1"));
+    reduce(&mut fleet, 1_020, Event::List(removed));
+    let refused = refusals(&reduce(&mut fleet, 1_050, Event::Tick)).len();
+    assert!(refused > 0 && refused < waiting, "{refused} of {waiting}");
+}
+
+/// Guards against a queue that the organisation with the most requests fills: another one is served
+/// first, although it came last.
+#[test]
+fn the_organisation_that_received_least_goes_first() {
+    let mut fleet = full_group();
+    let of = |name: &str| Some(OrganisationName::try_from(name).unwrap());
+    let request =
+        |attempt_id, name| Arrival { organisation: of(name), ..arrival(attempt_id, 1_010) };
+    let outcome = AttemptOutcome::Answered;
+    reduce(&mut fleet, 1_010, Event::Arrive(request(100, "large")));
+    let effects = reduce(&mut fleet, 1_020, Event::Ended { attempt_id: 1, outcome });
+    assert!(dispatched(&effects, 100).is_some());
+    reduce(&mut fleet, 1_020, Event::Arrive(request(101, "large")));
+    reduce(&mut fleet, 1_030, Event::Arrive(request(102, "small")));
+    let effects = reduce(&mut fleet, 1_040, Event::Ended { attempt_id: 2, outcome });
+    assert!(dispatched(&effects, 102).is_some());
+}
