Look at the groups once for all queued requests, and count the places of plain services

A tick compared all endpoints for each queued request, and a free slot for each request that waits for reading; the smallest nodes have an eighth of a core. A tick now looks once per kind, and a free slot is offered to the first four. While all places of a plain service are taken, its answers include the endpoints' own queues, so the predicted wait was up to twice too long.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,6 +6,7 @@
 use balsam_types::VmName;
 
 use crate::choice;
+use crate::choice::PLAIN_QUEUE_LEN;
 use crate::cost;
 use crate::event::Arrival;
 use crate::event::Effect;
@@ -25,6 +26,10 @@
 use crate::waiting::prediction;
 use crate::waiting::prediction::Backlog;
 
+/// Number of queued requests for which an endpoint is looked for when one may have become free. Each
+/// look compares all endpoints, and the smallest nodes have an eighth of a core.
+const MAX_CONSIDERED: usize = 4;
+
 /// Returns the work of a request in the unit in which capacity is counted: ms of a full group, or ms
 /// of one slot of a plain service.
 pub(crate) fn work_ms(fleet: &Fleet, kind: &RequestKind, arrival: &Arrival) -> f64 {
@@ -43,8 +48,8 @@
     let entry = entry(fleet, now_ms, kind, arrival);
     // Without an endpoint, a group that is being formed may still serve it.
     let has_endpoint = choice::capacity(fleet, now_ms, kind).total > 0;
-    let ahead_ms = fleet.waiting.work_ahead_ms(now_ms, kind, &entry);
-    let backlog = backlog(fleet, now_ms, kind, &entry.arrival, ahead_ms);
+    let mut backlog = backlog(fleet, now_ms, kind, &entry.arrival);
+    backlog.ahead_ms += fleet.waiting.work_ahead_ms(now_ms, kind, &entry);
     if has_endpoint && !is_servable(now_ms, &entry, &backlog) {
         let refusal = refusal(fleet, now_ms, kind, &entry, &backlog);
         refuse_unserved(fleet, now_ms, &entry.arrival, refusal, effects);
@@ -92,26 +97,23 @@
     arrival.prompt_tokens.min(fleet.waiting.prompt_tokens(kind))
 }
 
-/// Returns what a request has to wait for if `ahead_ms` of queued work goes before it.
-fn backlog(
-    fleet: &Fleet,
-    now_ms: u64,
-    kind: &RequestKind,
-    arrival: &Arrival,
-    ahead_ms: f64,
-) -> Backlog {
+/// Returns what a request has to wait for if no queued one goes before it.
+fn backlog(fleet: &Fleet, now_ms: u64, kind: &RequestKind, arrival: &Arrival) -> Backlog {
     let capacity = choice::capacity(fleet, now_ms, kind);
-    let units = if kind.model.is_some() { capacity.servers } else { capacity.total };
-    let rate = f64::from(units) / f64::from(capacity.nodes.max(1));
+    // While all places of a plain service are taken, an answer takes as long as it does because of
+    // the endpoints' own queues, so their places count as well.
+    let units = match kind.model {
+        Some(_) => capacity.servers,
+        None => capacity.total.saturating_add(capacity.servers.saturating_mul(PLAIN_QUEUE_LEN)),
+    };
     let prompt_tokens = typical_tokens(fleet, kind, arrival);
     let typical = Arrival { prompt_tokens, ..arrival.clone() };
     let read_wait_ms = choice::read_wait_ms(fleet, now_ms, kind, &typical);
-    // Full groups free one slot per request that they finish.
-    let until_slot_ms = read_wait_ms.map_or(fleet.waiting.dispatched_work_ms(kind), |_| 0.0);
     Backlog {
-        ahead_ms: ahead_ms + until_slot_ms,
+        // Full groups free one slot per request that they finish.
+        ahead_ms: read_wait_ms.map_or(fleet.waiting.dispatched_work_ms(kind), |_| 0.0),
         read_wait_ms: read_wait_ms.unwrap_or(0.0),
-        rate,
+        rate: f64::from(units) / f64::from(capacity.nodes.max(1)),
         arriving: fleet.waiting.arriving(now_ms, kind),
     }
 }
@@ -168,7 +170,7 @@
     kind: &RequestKind,
     effects: &mut Vec<Effect>,
 ) -> Option<(Arrival, Server)> {
-    for attempt_id in fleet.waiting.work_order(now_ms, kind) {
+    for attempt_id in fleet.waiting.work_order(now_ms, kind).into_iter().take(MAX_CONSIDERED) {
         let entry = fleet.waiting.entry(kind, attempt_id)?;
         let (arrival, may_be_passed) = (entry.arrival.clone(), entry.may_be_passed_over());
         if refuse_quarantined(fleet, now_ms, kind, &arrival, effects) {
@@ -195,11 +197,15 @@
     effects: &mut Vec<Effect>,
 ) {
     let has_endpoint = choice::capacity(fleet, now_ms, kind).total > 0;
-    let mut ahead_ms = 0.0;
-    for attempt_id in fleet.waiting.work_order(now_ms, kind) {
+    let order = fleet.waiting.work_order(now_ms, kind);
+    let Some(first) = order.first().and_then(|first| fleet.waiting.entry(kind, *first)) else {
+        return;
+    };
+    // One look at the groups for all, as there may be many of both.
+    let mut backlog = backlog(fleet, now_ms, kind, &first.arrival);
+    for attempt_id in order {
         let Some(entry) = fleet.waiting.entry(kind, attempt_id).cloned() else { continue };
         let arrival = &entry.arrival;
-        let backlog = backlog(fleet, now_ms, kind, arrival, ahead_ms);
         let keeps_waiting = arrival.is_retry || arrival.has_partial_answer;
         let refusal = if keeps_waiting {
             None
@@ -211,7 +217,7 @@
             None
         };
         let Some(refusal) = refusal else {
-            ahead_ms += entry.work_ms;
+            backlog.ahead_ms += entry.work_ms;
             continue;
         };
         fleet.waiting.remove(kind, attempt_id);
--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -19,7 +19,7 @@
 
 /// Number of requests that an endpoint of a plain service may hold beyond its slots; its own queue
 /// is short.
-const PLAIN_QUEUE_LEN: u32 = 6;
+pub(crate) const PLAIN_QUEUE_LEN: u32 = 6;
 
 /// Round-trip time to an endpoint in another data centre.
 const REMOTE_ROUND_TRIP_MS: f64 = 8.0;
--- a/crates/fleet/tests/fleet/admission.rs
+++ b/crates/fleet/tests/fleet/admission.rs
@@ -1,7 +1,10 @@
 //! Tests of admission by work.
 
+use std::collections::VecDeque;
+
 use balsam_fleet::Arrival;
 use balsam_fleet::Effect;
+use balsam_fleet::Endpoint;
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::LoadPolicy;
@@ -10,6 +13,7 @@
 use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::reduce;
 use balsam_types::OrganisationName;
+use balsam_types::PoolName;
 use rstest::rstest;
 
 use crate::admission_replay::AGGRESSIVE;
@@ -137,3 +141,54 @@
     let effects = reduce(&mut fleet, 1_040, Event::Ended { attempt_id: 2, outcome });
     assert!(dispatched(&effects, 102).is_some());
 }
+
+/// Guards against a queue that outlasts the target under lasting load, against refusing what could be
+/// answered in time, and against refusing a spike that is over soon. Two endpoints have 24 places that
+/// take 120 ms each, so 26 requests can wait for the 130 ms that a target of 250 ms leaves.
+#[test]
+fn a_plain_service_queues_what_it_answers_in_time() {
+    let mut fleet = full_group();
+    let plain = |name: &str, port| Endpoint {
+        pool: PoolName::try_from("ledger").unwrap(),
+        slots: 6,
+        ..support::endpoint(name, port)
+    };
+    let endpoints = vec![plain("one", 11), plain("two", 12)];
+    reduce(&mut fleet, 1_000, Event::List(ListChange::Whole(endpoints)));
+    let request = |attempt_id, now_ms| Arrival {
+        pool: PoolName::try_from("ledger").unwrap(),
+        model: None,
+        target_at_ms: now_ms + 250,
+        ..arrival(attempt_id, now_ms)
+    };
+    let outcome = AttemptOutcome::Answered;
+    for attempt_id in 1_000..1_200 {
+        let now_ms = attempt_id * 10;
+        reduce(&mut fleet, now_ms, Event::Arrive(request(attempt_id, now_ms)));
+        reduce(&mut fleet, now_ms + 120, Event::Ended { attempt_id, outcome });
+    }
+    for attempt_id in 2_000..2_080 {
+        let effects = reduce(&mut fleet, 20_000, Event::Arrive(request(attempt_id, 20_000)));
+        assert!(refusals(&effects).is_empty(), "a spike of 400 ms is served, if late");
+    }
+    let mut running: VecDeque<u64> = (2_000..2_024).collect();
+    for now_ms in 20_001..22_000 {
+        let mut effects = Vec::new();
+        if now_ms % 2 == 0 {
+            effects.extend(reduce(&mut fleet, now_ms, Event::Arrive(request(now_ms, now_ms))));
+        }
+        if now_ms % 5 == 0 {
+            let attempt_id = running.pop_front().unwrap();
+            effects.extend(reduce(&mut fleet, now_ms, Event::Ended { attempt_id, outcome }));
+        }
+        if now_ms % 50 == 0 {
+            effects.extend(reduce(&mut fleet, now_ms, Event::Tick));
+        }
+        running.extend(effects.iter().filter_map(|effect| match effect {
+            Effect::Dispatch { attempt_id, .. } => Some(*attempt_id),
+            _ => None,
+        }));
+    }
+    assert_eq!(running.len(), 24);
+    assert!((15..=30).contains(&fleet.waiting.len()), "{} wait", fleet.waiting.len());
+}
