--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -19,7 +19,7 @@
 
 /// Number of requests that an endpoint of a plain service may hold beyond its slots; its own queue
 /// is short.
-const PLAIN_QUEUE_LEN: u32 = 6;
+pub(crate) const PLAIN_QUEUE_LEN: u32 = 6;
 
 /// Round-trip time to an endpoint in another data centre.
 const REMOTE_ROUND_TRIP_MS: f64 = 8.0;
@@ -141,18 +141,23 @@
     fleet.waiting.next(now_ms, kind).is_none() && fleet.serving.of(kind).iter().any(|s| is_free(&s))
 }
 
+/// Returns how many requests an endpoint may hold.
+pub(crate) fn max_in_flight(pool: &PoolConfig, server: &Server) -> u32 {
+    match pool.engine {
+        Some(_) => server.slots,
+        None => server.slots.saturating_add(PLAIN_QUEUE_LEN),
+    }
+}
+
 fn has_capacity(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server) -> bool {
     let load = fleet.loads.get(&server.vm);
     let in_flight = load.map_or(0, |load| load.total(now_ms).0);
-    let limit = match pool.engine {
-        Some(_) => server.slots,
-        None => server.slots.saturating_add(PLAIN_QUEUE_LEN),
-    };
     let cold_per_s = pool.cold_per_s / f64::from(fleet.nodes(now_ms));
     let is_cold = now_ms < server.cold_until_ms && pool.cold_per_s > 0.0;
     let is_open =
         !is_cold || load.is_some_and(|load| load.cold_allowance.has_room(now_ms, cold_per_s));
-    in_flight < limit && is_open
+    in_flight.saturating_add(fleet.hidden_load.of(now_ms, &server.vm)) < max_in_flight(pool, server)
+        && is_open
 }
 
 /// Refills this node's share of the cold-start limits.
@@ -198,8 +203,8 @@
 /// Returns the capacity of the servers that a kind of request may use.
 pub(crate) fn capacity(fleet: &Fleet, now_ms: u64, kind: &RequestKind) -> Capacity {
     let servers = fleet.serving.of(kind).iter();
-    let usable = servers.filter(|server| is_usable(fleet, now_ms, server));
+    let usable: Vec<_> = servers.filter(|server| is_usable(fleet, now_ms, server)).collect();
     // The slots of many endpoints may exceed the type, and the total is only compared and divided.
-    let total = usable.map(|server| server.slots).fold(0, u32::saturating_add);
-    Capacity { total, nodes: fleet.nodes(now_ms) }
+    let total = usable.iter().map(|server| server.slots).fold(0, u32::saturating_add);
+    Capacity { total, servers: usable.len() as u32, nodes: fleet.nodes(now_ms) }
 }
