Fleet: back off from an endpoint that resets its connections

Cause: an attempt that ended with a closed connection left no trace at its endpoint, so one that reset each connection stayed idle and was the best choice again at once.

Change: such an end backs off for 1 s, doubled up to 4 s. The attempts that one crash ends together count once.

--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -30,6 +30,10 @@
 /// Maximum backoff for an endpoint that could not be reached.
 const MAX_BACKOFF_MS: u64 = 4_000;
 
+/// First backoff for an endpoint that closed a connection before the end of its answer, doubled with
+/// each further such end. Endpoints that reset each connection had 616 attempts of 60 nodes in 2.5 s.
+const CLOSED_BACKOFF_MS: u64 = 1_000;
+
 /// Weight of the newest result in the failure share.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -62,7 +66,7 @@
     pub busy_since_ms: u64,
     /// Until this time the endpoint is used only if no other can be.
     pub backoff_until_ms: u64,
-    /// Number of consecutive failures to reach it.
+    /// Number of consecutive failures to reach it or to get a whole answer.
     failures: u32,
     /// Fraction of recent answers that were failures.
     pub failure_share: f64,
@@ -229,6 +233,12 @@
             load.backoff_until_ms = now_ms + pause_ms.min(MAX_BACKOFF_MS);
             load.failures += 1;
         }
+        // The attempts that a crash ends together count as one failure.
+        if outcome == AttemptOutcome::Closed && now_ms >= load.backoff_until_ms {
+            let pause_ms = CLOSED_BACKOFF_MS << load.failures.min(2);
+            load.backoff_until_ms = now_ms + pause_ms.min(MAX_BACKOFF_MS);
+            load.failures += 1;
+        }
         Some(running)
     }
 
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -17,4 +17,5 @@
 mod silences;
 mod simulation;
 mod support;
+mod uneven;
 mod waiting;
