Fleet: avoid an endpoint that is not as listed until the list is read

Cause: the backoff for an endpoint that answers 421 is 2 s, as the list is updated within that time.

Change: besides the 2 s, such an endpoint counts as backed off until the list has been read after the 421, or its entry changes.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -40,6 +40,7 @@
     let pool = fleet.configuration.as_ref()?.pools.get(&kind.pool)?;
     let unreported_work = unreported_work(fleet, now_ms, kind);
     let is_far = |server: &&Server| server.data_centre != fleet.settings.data_centre;
+    let list_read_ms = fleet.directory.last_read_ms();
     let far_groups = fleet.serving.of(kind).iter().filter(is_far).count();
     let far_ms = unreported_work.summarised_ms / far_groups.max(1) as f64;
     let open = servers(fleet, now_ms, kind, pool, arrival).filter(|server| match &pool.engine {
@@ -54,7 +55,7 @@
             let load = fleet.loads.get(&server.vm);
             // An endpoint that was unreachable or refused a request is used only if no other
             // endpoint has capacity.
-            let is_backed_off = load.is_some_and(|load| now_ms < load.backoff_until_ms);
+            let is_backed_off = load.is_some_and(|load| load.is_backed_off(now_ms, list_read_ms));
             let unreported_ms = if is_far(&server) { far_ms } else { 0.0 };
             (is_backed_off, cost(fleet, now_ms, pool, server, arrival) + unreported_ms, server)
         })
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -166,6 +166,11 @@
         self.last_read_ms.is_some()
     }
 
+    /// Returns when the list was last read.
+    pub fn last_read_ms(&self) -> Option<u64> {
+        self.last_read_ms
+    }
+
     /// Returns the time since the list was last read.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         self.last_read_ms.map_or(u64::MAX, |read_ms| now_ms.saturating_sub(read_ms))
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -66,6 +66,8 @@
     pub busy_since_ms: u64,
     /// Until this time the endpoint is used only if no other can be.
     pub backoff_until_ms: u64,
+    /// When it was last found to differ from its list entry.
+    pub misdirected_ms: Option<u64>,
     /// Number of consecutive failures to reach it or to get a whole answer.
     failures: u32,
     /// Fraction of recent answers that were failures.
@@ -77,6 +79,14 @@
 }
 
 impl EndpointLoad {
+    /// Whether the endpoint is used only if no other can be.
+    ///
+    /// Until the list is read again, an entry that proved wrong stays wrong.
+    pub fn is_backed_off(&self, now_ms: u64, list_read_ms: Option<u64>) -> bool {
+        let is_wrongly_listed = self.misdirected_ms.is_some_and(|at_ms| Some(at_ms) > list_read_ms);
+        now_ms < self.backoff_until_ms || is_wrongly_listed
+    }
+
     /// Returns the requests of all nodes and the prompt tokens that are probably still unread.
     pub fn expected(&self, now_ms: u64) -> (u32, u64) {
         let unread =
@@ -220,8 +230,12 @@
         if let Some(failed) = failed {
             load.failures = 0;
             load.backoff_until_ms = 0;
+            load.misdirected_ms = None;
             load.failure_share += FAILURE_WEIGHT * (failed - load.failure_share);
         }
+        if outcome == AttemptOutcome::Misdirected {
+            load.misdirected_ms = Some(now_ms);
+        }
         let refused_backoff_ms = match outcome {
             AttemptOutcome::TurnedAway | AttemptOutcome::Faulty => BACKOFF_MS,
             AttemptOutcome::Misdirected => MISDIRECTED_BACKOFF_MS,
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -177,7 +177,9 @@
     }
     if let Some(vm) = changed_vm {
         // The entry has just changed, so the reason for the backoff may no longer apply.
-        fleet.loads.entry(&vm).backoff_until_ms = 0;
+        let load = fleet.loads.entry(&vm);
+        load.backoff_until_ms = 0;
+        load.misdirected_ms = None;
         if let (Some(endpoint), Some(configuration)) =
             (fleet.directory.get(&vm), &fleet.configuration)
         {
--- a/crates/fleet/tests/fleet/uneven.rs
+++ b/crates/fleet/tests/fleet/uneven.rs
@@ -111,3 +111,26 @@
     }
     assert!((3..=5).contains(&tried), "{tried} of 100 requests in 5 s went to it");
 }
+
+/// Nodes that could not read the list tried eight heads of dissolved groups again every two seconds,
+/// which used up their retry budget: 461 requests were refused in six seconds beside free endpoints
+/// (resguardo-cl-grown, trouble-3).
+#[test]
+fn an_endpoint_that_is_not_as_listed_is_avoided_until_the_list_is_read() {
+    let mut fleet = fleet(vec![head("sound", 1), head("dissolved", 2)]);
+    let mut misdirected = 0;
+    for attempt_id in 1..=60 {
+        let now_ms = 1_000 + attempt_id * 125;
+        let is_sound = send(&mut fleet, now_ms, attempt_id) == Some(vm("sound"));
+        misdirected += u32::from(!is_sound);
+        let outcome = if is_sound { AttemptOutcome::Answered } else { AttemptOutcome::Misdirected };
+        let ended_ms = if is_sound { now_ms + 100 } else { now_ms + 2 };
+        reduce(&mut fleet, ended_ms, Event::Ended { attempt_id, outcome });
+    }
+    assert_eq!(misdirected, 1);
+    reduce(&mut fleet, 9_000, Event::List(ListChange::Unchanged));
+    reduce(&mut fleet, 9_000, Event::Arrive(arrival(101, 9_000)));
+    reduce(&mut fleet, 9_000, Event::Arrive(arrival(102, 9_000)));
+    let load = fleet.loads.get(&vm("dissolved"));
+    assert_eq!(load.map(|load| load.in_flight), Some(1), "a read of the list ends the backoff");
+}
