Add the bound on held memory to the state of the relay

The node's memory limit decides how many bytes of requests and answers it may hold, and the field is what both sides of the request path reserve from. Nothing reserves yet.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -15,6 +15,7 @@
 use balsam_fleet::serving::RequestKind;
 use balsam_http::Client;
 use balsam_http::ClientOptions;
+use balsam_http::HeldMemory;
 use balsam_http::OpenConnections;
 use balsam_http::accept_queue;
 use balsam_types::VmName;
@@ -81,6 +82,8 @@
     pub turned_away_retry_after_ms: u64,
     /// Maximum number of callers' connections.
     pub max_connections: usize,
+    /// Bytes of requests and answers that the node may hold over all connections.
+    pub max_held_bytes: usize,
 }
 
 impl FrontOptions {
@@ -102,6 +105,8 @@
     connections: AtomicU64,
     accept_loops: AtomicUsize,
     pub open_connections: OpenConnections<Activity>,
+    /// The bound on what all connections hold of requests and answers.
+    pub held_memory: HeldMemory,
     /// The bytes of memory that are left for large answers.
     pub answer_memory: Arc<Semaphore>,
     was_ready: AtomicBool,
@@ -138,6 +143,7 @@
             connections: AtomicU64::new(0),
             accept_loops: AtomicUsize::new(0),
             open_connections: OpenConnections::default(),
+            held_memory: HeldMemory::new(options.max_held_bytes),
             answer_memory: Arc::new(Semaphore::new(plain::ANSWER_MEMORY_BYTES)),
             was_ready: AtomicBool::new(false),
         };
