Test the memory of a node with a crowd of callers outside the limits

Each case lowers the limits of one node process (48 MB, bodies of 1 MB, 300 callers; 300 descriptors in the last two) and checks that the process lives, that its peak memory stays below its limit, that descriptors fall again, that an ordinary request is answered and that no request of the crowd ran.

--- a/crates/node/tests/platform/bed.rs
+++ b/crates/node/tests/platform/bed.rs
@@ -210,6 +210,7 @@
     pub nodes: Vec<Arc<Node>>,
     pub directory: PathBuf,
     pub version: AtomicU64,
+    extra_settings: String,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -224,6 +225,17 @@
 impl TestBed {
     /// Starts the processes and waits until all of them serve all kinds of requests.
     pub async fn start(seed: u64, nodes: usize, engines: usize, plain: usize) -> Self {
+        Self::start_with(seed, nodes, engines, plain, "").await
+    }
+
+    /// Like `start`, with additional settings.
+    pub async fn start_with(
+        seed: u64,
+        nodes: usize,
+        engines: usize,
+        plain: usize,
+        extra_settings: &str,
+    ) -> Self {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let directory = directory.join(format!("platform-{}-{seed}", std::process::id()));
         fs::create_dir_all(&directory).unwrap();
@@ -258,7 +270,9 @@
             .collect();
         let tasks = nodes.iter().map(|node| tokio::spawn(node.clone().check_readiness())).collect();
         let version = AtomicU64::new(1);
-        let bed = Self { store, store_link, endpoints, nodes, directory, version, tasks };
+        let extra_settings = extra_settings.to_owned();
+        let bed =
+            Self { store, store_link, endpoints, nodes, directory, version, extra_settings, tasks };
         for node in &bed.nodes {
             bed.write_settings(node, 100);
             node.start();
@@ -272,7 +286,7 @@
         let seeds: Vec<IpAddr> = self.nodes.iter().take(SEED_NODES).map(|node| node.ip).collect();
         let store = self.store_link.address();
         let text = processes::settings(&node.name, node.ip, &seeds, store, budget_slack);
-        fs::write(node.settings_path(), text).unwrap();
+        fs::write(node.settings_path(), text + &self.extra_settings).unwrap();
     }
 
     /// Writes the next version of the configuration.
--- a/crates/node/tests/platform/endless_bytes.rs
+++ b/crates/node/tests/platform/endless_bytes.rs
@@ -105,7 +105,7 @@
 }
 
 /// Returns the largest amount of memory that a process has used so far.
-fn peak_memory_bytes(process_id: u32) -> u64 {
+pub fn peak_memory_bytes(process_id: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
     let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
     line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1_024
--- a/crates/node/tests/platform/main.rs
+++ b/crates/node/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod bed;
 mod callers;
 mod checker;
+mod crowds;
 mod endless_bytes;
 mod schedule;
 mod soak;
