Bound what callers' requests hold of the memory of a node

Cause: each body had a limit, their sum had none; kept frames cost tens of bytes for a chunk of one; nothing ended a body that stood still, and its connection never gave way to a new one.

Bodies are copied into one buffer and reserve memory as they arrive, in relay and serve by one copy (RequestBodies). Without memory the body that has stood still for longest gives way, otherwise the newest is refused (503, not run); at the deadline an unfinished one gets 408. Connections whose head or body stands still close for new ones after the idle ones.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod linger;
 pub mod memory;
 pub mod open_connections;
+pub mod request_bodies;
 pub mod reusable_timeout;
 pub mod sse;
 
@@ -22,6 +23,9 @@
 pub use memory::HeldMemory;
 pub use memory::Reservation;
 pub use open_connections::OpenConnections;
+pub use request_bodies::BodyFailure;
+pub use request_bodies::RequestBodies;
+pub use request_bodies::STILL_AFTER;
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
 pub use sse::Splitter;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -91,6 +91,8 @@
     NoRoute,
     /// The API key is missing or unknown.
     NoKey,
+    /// The body was not complete at the deadline.
+    BodyTimedOut,
     /// The body is larger than allowed.
     TooLarge,
     /// The head is larger than allowed.
@@ -100,7 +102,7 @@
 }
 
 impl RequestFailure {
-    /// Returns the HTTP status; 503 guarantees that the request has not run.
+    /// Returns the HTTP status; 503 and 408 guarantee that the request has not run.
     pub fn status(self) -> StatusCode {
         match self {
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -108,6 +110,7 @@
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
@@ -122,6 +125,7 @@
             Self::TimedOut => "timed_out",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::BodyTimedOut => "body_timed_out",
             Self::TooLarge => "too_large",
             Self::HeadTooLarge => "head_too_large",
             Self::Malformed => "malformed",
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -7,6 +7,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
@@ -19,7 +20,10 @@
 use std::time::Duration;
 
 use balsam_fleet::configuration::CallerLimits;
+use balsam_http::HeldMemory;
 use balsam_http::Linger;
+use balsam_http::Reservation;
+use balsam_http::STILL_AFTER;
 use futures::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -41,6 +45,13 @@
 /// size.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Bytes that are read at a time. hyper enlarges the buffer of a connection from 8 KB to its limit if
+/// reads fill it, and on all connections together that exceeds the memory of a VM.
+const READ_BYTES: usize = 8 * 1024 - 1;
+
+/// Bytes of a head that need no reservation of memory; few heads are larger.
+const UNRESERVED_HEAD_BYTES: usize = 8 * 1024;
+
 /// How often the limits of a connection are checked while a request runs on it.
 const RUNNING_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -71,8 +82,9 @@
 /// What happens on a connection.
 pub(crate) struct Activity {
     state: Mutex<ActivityState>,
-    /// Asks for the end of the connection unless a request has arrived meanwhile.
-    close_idle: Notify,
+    peer: Option<SocketAddr>,
+    /// Asks for the end of the connection unless it is in use meanwhile.
+    close_unused: Notify,
 }
 
 struct ActivityState {
@@ -82,6 +94,10 @@
     idle_since: Instant,
     /// When the first bytes of a head arrived that is not complete.
     head_since: Option<Instant>,
+    /// When the last bytes arrived.
+    received_at: Instant,
+    /// Whether the body of a request is not complete.
+    is_reading_body: bool,
     /// Since when bytes of an answer wait for the caller to read.
     blocked_since: Option<Instant>,
     /// The highest limits that were in force since the connection became idle.
@@ -98,6 +114,12 @@
         self.running_requests == 0 && self.head_since.is_none() && self.blocked_since.is_none()
     }
 
+    /// Returns since when nothing has arrived of a head or a body that is not complete.
+    fn still_since(&self) -> Option<Instant> {
+        let is_unfinished = self.head_since.is_some() || self.is_reading_body;
+        (is_unfinished && self.received_at.elapsed() >= STILL_AFTER).then_some(self.received_at)
+    }
+
     /// Returns when the connection is to be closed if nothing more happens; `None` if a request
     /// runs.
     fn deadline(&self) -> Option<Instant> {
@@ -124,19 +146,21 @@
 }
 
 impl Activity {
-    fn new(limits: CallerLimits) -> Self {
+    fn new(limits: CallerLimits, peer: Option<SocketAddr>) -> Self {
         let idle_since = Instant::now();
         let state = ActivityState {
             running_requests: 0,
             had_request: false,
             idle_since,
             head_since: None,
+            received_at: idle_since,
+            is_reading_body: false,
             blocked_since: None,
             limits,
             is_closed_idle: false,
             is_closing: false,
         };
-        Self { state: Mutex::new(state), close_idle: Notify::new() }
+        Self { state: Mutex::new(state), peer, close_unused: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, ActivityState> {
@@ -150,13 +174,24 @@
         state.is_idle().then_some(state.idle_since)
     }
 
-    /// Closes the connection if it is still idle.
-    pub fn close_if_idle(&self) {
-        self.close_idle.notify_one();
+    /// Returns since when the connection has been idle, or else since when its request has stood
+    /// still, which sorts after all idle ones.
+    pub fn unused_since(&self) -> Option<(bool, Instant)> {
+        let state = self.state();
+        match state.is_idle() {
+            true => Some((false, state.idle_since)),
+            false => state.still_since().map(|since| (true, since)),
+        }
+    }
+
+    /// Closes the connection if it is still idle or its request stands still.
+    pub fn close_if_unused(&self) {
+        self.close_unused.notify_one();
     }
 
     fn received(&self) {
         let mut state = self.state();
+        state.received_at = Instant::now();
         if state.running_requests == 0 && state.head_since.is_none() {
             state.head_since = Some(Instant::now());
         }
@@ -212,9 +247,20 @@
             state.running_requests += 1;
             state.had_request = true;
             state.head_since = None;
+            state.is_reading_body = true;
         }
         Self { shared, activity }
     }
+
+    /// Records that the request was read whole.
+    pub fn finish_reading(&self) {
+        self.activity.state().is_reading_body = false;
+    }
+
+    /// Returns the address of the caller.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.activity.peer
+    }
 }
 
 impl Drop for RunningRequest {
@@ -222,6 +268,7 @@
         let limits = self.shared.limits();
         let mut state = self.activity.state();
         state.running_requests -= 1;
+        state.is_reading_body = false;
         state.idle_since = Instant::now();
         if !state.is_closing {
             state.limits = limits;
@@ -233,20 +280,54 @@
 struct CallerSocket {
     stream: TcpStream,
     activity: Arc<Activity>,
+    memory: HeldMemory,
+    /// The bytes of a head that is not complete, and the memory that they reserve.
+    head_bytes: usize,
+    head_reservation: Reservation,
     /// The end of the connection, once its last answer was written.
     linger: Option<Linger>,
 }
 
+impl CallerSocket {
+    /// Releases the memory of a head that is complete.
+    fn release_head(&mut self) {
+        if self.head_bytes > 0 && self.activity.state().head_since.is_none() {
+            self.head_bytes = 0;
+            self.head_reservation = Reservation::default();
+        }
+    }
+
+    /// Reserves memory for the bytes of a head that is not complete. The connection ends if there is
+    /// none: its request has not been read, so that it cannot be answered.
+    fn reserve_head(&mut self, bytes: usize) -> io::Result<()> {
+        if self.activity.state().head_since.is_none() {
+            return Ok(());
+        }
+        self.head_bytes += bytes;
+        let reserved_bytes = self.head_bytes.saturating_sub(UNRESERVED_HEAD_BYTES);
+        let added_bytes = reserved_bytes - self.head_reservation.bytes();
+        match self.memory.try_reserve_request(&mut self.head_reservation, added_bytes) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+}
+
 impl AsyncRead for CallerSocket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before_bytes = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > before_bytes {
+        self.release_head();
+        let max_bytes = buffer.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max_bytes));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let bytes = part.filled().len();
+        buffer.advance(bytes);
+        if bytes > 0 {
             self.activity.received();
+            self.reserve_head(bytes)?;
         }
         Poll::Ready(Ok(()))
     }
@@ -300,7 +381,7 @@
 
 /// Serves the requests of a connection until it ends.
 pub(crate) async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    let activity = Arc::new(Activity::new(shared.limits()));
+    let activity = Arc::new(Activity::new(shared.limits(), stream.peer_addr().ok()));
     let number = shared.open_connections.add(activity.clone());
     drive(&shared, stream, activity, false).await;
     shared.open_connections.remove(number);
@@ -308,7 +389,7 @@
 
 /// Refuses the first request of a connection over the limit and closes it.
 pub(crate) async fn refuse(shared: Arc<Shared>, stream: TcpStream) {
-    let activity = Arc::new(Activity::new(shared.limits()));
+    let activity = Arc::new(Activity::new(shared.limits(), stream.peer_addr().ok()));
     let time = Duration::from_millis(shared.limits().header_timeout_ms).min(REFUSAL_TIMEOUT);
     let _ = timeout(time, drive(&shared, stream, activity, true)).await;
 }
@@ -335,7 +416,14 @@
             }
         })
     };
-    let socket = CallerSocket { stream, activity: activity.clone(), linger: None };
+    let socket = CallerSocket {
+        stream,
+        activity: activity.clone(),
+        memory: shared.held_memory.clone(),
+        head_bytes: 0,
+        head_reservation: Reservation::default(),
+        linger: None,
+    };
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes.max(HEAD_BUFFER_BYTES))
         .header_read_timeout(None)
@@ -343,7 +431,7 @@
     let mut connection = pin!(connection);
     let mut close = pin!(shared.close_started());
     let mut timer = pin!(sleep(RUNNING_CHECK_INTERVAL));
-    let mut close_idle = pin!(activity.close_idle.notified().fuse());
+    let mut close_unused = pin!(activity.close_unused.notified().fuse());
     let mut is_closing = false;
     let mut is_ending = false;
     poll_fn(|cx| {
@@ -357,10 +445,11 @@
                 is_closing = true;
                 activity.close();
             }
-            if !is_ending
-                && close_idle.as_mut().poll(cx).is_ready()
-                && activity.idle_since().is_some()
-            {
+            let is_unused = !is_ending && close_unused.as_mut().poll(cx).is_ready();
+            if is_unused && activity.state().still_since().is_some() {
+                return Poll::Ready(());
+            }
+            if is_unused && activity.idle_since().is_some() {
                 is_ending = true;
                 activity.state().is_closed_idle = true;
                 connection.as_mut().graceful_shutdown();
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and handles their requests.
 
 use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -17,6 +18,7 @@
 use balsam_http::ClientOptions;
 use balsam_http::HeldMemory;
 use balsam_http::OpenConnections;
+use balsam_http::RequestBodies;
 use balsam_http::accept_queue;
 use balsam_types::VmName;
 use http::HeaderValue;
@@ -47,6 +49,7 @@
 use crate::open_requests::OpenRequests;
 use crate::plain;
 use crate::request;
+use crate::request::Refused;
 use crate::request::Request;
 use crate::stream;
 
@@ -107,6 +110,7 @@
     pub open_connections: OpenConnections<Activity>,
     /// The bound on what all connections hold of requests and answers.
     pub held_memory: HeldMemory,
+    pub bodies: RequestBodies,
     /// The bytes of memory that are left for large answers.
     pub answer_memory: Arc<Semaphore>,
     was_ready: AtomicBool,
@@ -132,6 +136,7 @@
             idle_ms: options.endpoint_idle_ms,
             idle_connections: options.endpoint_idle_connections,
         });
+        let held_memory = HeldMemory::new(options.max_held_bytes);
         let shared = Shared {
             hub,
             client,
@@ -143,7 +148,8 @@
             connections: AtomicU64::new(0),
             accept_loops: AtomicUsize::new(0),
             open_connections: OpenConnections::default(),
-            held_memory: HeldMemory::new(options.max_held_bytes),
+            bodies: RequestBodies::new(held_memory.clone()),
+            held_memory,
             answer_memory: Arc::new(Semaphore::new(plain::ANSWER_MEMORY_BYTES)),
             was_ready: AtomicBool::new(false),
         };
@@ -214,16 +220,17 @@
             });
             return;
         }
-        // An idle connection that closes is still counted for a moment.
+        // A connection that closes is still counted for a moment.
         let max_excess = max_connections / REFUSED_CONNECTIONS_DIVISOR + 1;
-        let idle = match connections < max_connections + max_excess {
-            true => shared.open_connections.take_lowest(Activity::idle_since),
+        let unused = match connections < max_connections + max_excess {
+            true => shared.open_connections.take_lowest(Activity::unused_since),
             false => return self.log_full(connections, "dropped"),
         };
-        match idle {
-            Some(idle) => {
-                self.log_full(connections, "closed_idle");
-                idle.close_if_idle();
+        match unused {
+            Some(unused) => {
+                let is_idle = unused.idle_since().is_some();
+                self.log_full(connections, if is_idle { "closed_idle" } else { "closed_still" });
+                unused.close_if_unused();
                 tokio::spawn(async move {
                     caller_conn::serve(shared, stream).await;
                     drop(guard);
@@ -320,32 +327,37 @@
     let expects_continue = parts.headers.contains_key(header::EXPECT);
     let id = parts.headers.get(&shared.dialect.request_id).cloned();
     let open = shared.open.add(shared.hub.clone(), id.clone(), running.clone());
-    let reading =
-        request::read(shared.hub.configuration_to_serve(), &shared.dialect, parts, &mut body);
+    let reading = {
+        let (configuration, bodies) = (shared.hub.configuration_to_serve(), &shared.bodies);
+        request::read(configuration, &shared.dialect, bodies, parts, &mut body)
+    };
     let parsed = tokio::select! {
         biased;
         parsed = reading => parsed,
-        _ = shared.close_started() => Err(STOPPING),
+        _ = shared.close_started() => Err(STOPPING.into()),
     };
     // By then the load balancer has removed the node. What still arrives is refused at once, so that
     // another node has its full time for it and the rest of the grace period is left to the
     // answers that are under way.
     let parsed = parsed.and_then(|request| match shared.is_closing() {
-        true => Err(STOPPING),
+        true => Err(STOPPING.into()),
         false => Ok(request),
     });
+    let mut is_closing = false;
     let mut response = match parsed {
         Ok(request) => {
+            running.finish_reading();
             let request = Arc::new(request);
             open.set_request(&request);
             answer_request(&shared, request).await
         }
-        Err(failure) => {
-            refuse_unread(&shared, id.as_ref(), failure, body, expects_continue, running);
-            failure.response()
+        Err(refused) => {
+            is_closing = refused.is_still();
+            refuse_unread(&shared, id.as_ref(), &refused, body, expects_continue, running);
+            refused.failure.response()
         }
     };
-    if *shared.stopping.borrow() {
+    if is_closing || *shared.stopping.borrow() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -362,7 +374,7 @@
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&shared.dialect.request_id);
     let expects_continue = parts.headers.contains_key(header::EXPECT);
-    refuse_unread(shared, id, failure, body, expects_continue, Arc::new(running));
+    refuse_unread(shared, id, &failure.into(), body, expects_continue, Arc::new(running));
     let mut response = failure.response();
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
@@ -372,15 +384,15 @@
 fn refuse_unread(
     shared: &Arc<Shared>,
     id: Option<&HeaderValue>,
-    failure: RequestFailure,
+    refused: &Refused,
     body: Incoming,
     expects_continue: bool,
     running: Arc<RunningRequest>,
 ) {
     let is_body_unread = !body.is_end_stream();
-    shared.log_refusal_by_head(id, failure, is_body_unread);
+    shared.log_refusal_by_head(id, refused, running.peer(), is_body_unread);
     // A caller that expects `100 Continue` may or may not send the body after a refusal.
-    if is_body_unread && !expects_continue {
+    if is_body_unread && !expects_continue && !refused.is_still() {
         let discarding = request::discard_body(body, shared.limits().max_body_bytes);
         tokio::spawn(async move {
             discarding.await;
@@ -487,13 +499,21 @@
     pub fn log_refusal_by_head(
         &self,
         id: Option<&HeaderValue>,
-        failure: RequestFailure,
+        refused: &Refused,
+        peer: Option<SocketAddr>,
         is_body_unread: bool,
     ) {
-        self.hub.metrics.answer(failure.as_str());
+        self.hub.metrics.answer(refused.failure.as_str());
+        if let Some(body) = refused.body {
+            self.hub.metrics.body_refused(body);
+        }
+        let organisation = refused.organisation.as_ref().map(|organisation| &organisation.name);
         if let Some(dropped) = self.hub.log_limiter.take("request_refused") {
             info!(self.hub.log, "request refused"; "kind" => "request_refused",
-                "request" => id.and_then(|id| id.to_str().ok()), "outcome" => failure.as_str(),
+                "request" => id.and_then(|id| id.to_str().ok()),
+                "outcome" => refused.failure.as_str(), "body" => refused.body,
+                "organisation" => organisation.map(ToString::to_string),
+                "peer" => peer.map(|peer| peer.to_string()),
                 "is_body_unread" => is_body_unread, "dropped_lines" => dropped);
         }
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -9,6 +9,8 @@
 use balsam_fleet::Configuration;
 use balsam_fleet::configuration::Organisation;
 use balsam_fleet::configuration::Route;
+use balsam_http::BodyFailure;
+use balsam_http::RequestBodies;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::PoolName;
 use balsam_types::VmName;
@@ -19,10 +21,7 @@
 use http::Uri;
 use http::header;
 use http::request::Parts;
-use http_body::Body as _;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -35,6 +34,9 @@
 /// `Retry-After` for callers while the node has no configuration yet.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
 
+/// `Retry-After` for a body that found no memory: others that are being read have ended by then.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// A lower limit on the size of a head is not applied.
 const MIN_HEAD_LIMIT_BYTES: usize = 8 * 1024;
 
@@ -105,29 +107,58 @@
     }
 }
 
+/// A request that was refused before it was read whole.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub failure: RequestFailure,
+    /// What became of its body, if that is why.
+    pub body: Option<&'static str>,
+    pub organisation: Option<Arc<Organisation>>,
+}
+
+impl Refused {
+    /// Whether more bytes of its body are of no use: its caller sends none, or it is past its time.
+    pub fn is_still(&self) -> bool {
+        matches!(self.body, Some(STOOD_STILL | TIMED_OUT))
+    }
+}
+
+impl From<RequestFailure> for Refused {
+    fn from(failure: RequestFailure) -> Self {
+        Self { failure, body: None, organisation: None }
+    }
+}
+
 /// Checks a request and reads its body.
 pub(crate) async fn read(
     configuration: Option<Arc<Configuration>>,
     dialect: &Dialect,
+    bodies: &RequestBodies,
     parts: Parts,
     body: &mut Incoming,
-) -> Result<Request, RequestFailure> {
+) -> Result<Request, Refused> {
     let arrived_ms = now_ms();
     let configuration = configuration
         .ok_or(RequestFailure::NotRun { retry_after_ms: NO_CONFIGURATION_RETRY_MS })?;
     if head_bytes(&parts) > configuration.limits.max_header_bytes.max(MIN_HEAD_LIMIT_BYTES) {
-        return Err(RequestFailure::HeadTooLarge);
+        return Err(RequestFailure::HeadTooLarge.into());
     }
     let route = route(&configuration, &parts)?;
     let organisation = organisation(&configuration, &route, &parts.headers)?;
     let id = parts.headers.get(&dialect.request_id).cloned().ok_or(RequestFailure::Malformed)?;
     let pool = route.pool(rand::random()).cloned().ok_or(RequestFailure::NoRoute)?;
     let budget_ms = parse_number(&parts.headers, &dialect.time_budget).unwrap_or(route.timeout_ms);
-    let body = read_body(body, configuration.limits.max_body_bytes).await?;
+    let time_ms = budget_ms.min(route.timeout_ms);
+    let max_bytes = configuration.limits.max_body_bytes;
+    let reading = bodies.read(body, max_bytes, Duration::from_millis(time_ms), |_| true);
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(failure) => return Err(refused_body(&failure, organisation)),
+    };
     let work = (dialect.work)(&parts.headers);
     let last_event_id = parse_number(&parts.headers, &dialect.last_event_id);
     let headers = endpoint_headers(parts.headers, dialect);
-    let deadline_at_ms = arrived_ms + budget_ms.min(route.timeout_ms);
+    let deadline_at_ms = arrived_ms + time_ms;
     Ok(Request {
         id,
         target_at_ms: route.target_at_ms(deadline_at_ms),
@@ -187,15 +218,20 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-async fn read_body(body: &mut Incoming, limit_bytes: usize) -> Result<Bytes, RequestFailure> {
-    if body.size_hint().lower() > limit_bytes as u64 {
-        return Err(RequestFailure::TooLarge);
-    }
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RequestFailure::TooLarge),
-        Err(_) => Err(RequestFailure::Malformed),
-    }
+/// Names of what becomes of a body in metrics and the log.
+const STOOD_STILL: &str = "stood_still";
+const TIMED_OUT: &str = "timed_out";
+
+fn refused_body(failure: &BodyFailure, organisation: Option<Arc<Organisation>>) -> Refused {
+    let no_memory = RequestFailure::NotRun { retry_after_ms: NO_MEMORY_RETRY_MS };
+    let (failure, body) = match failure {
+        BodyFailure::TooLarge => (RequestFailure::TooLarge, "too_large"),
+        BodyFailure::Unreadable(_) => (RequestFailure::Malformed, "unreadable"),
+        BodyFailure::NoMemory => (no_memory, "no_memory"),
+        BodyFailure::GaveWay => (no_memory, STOOD_STILL),
+        BodyFailure::TimedOut => (RequestFailure::BodyTimedOut, TIMED_OUT),
+    };
+    Refused { failure, body: Some(body), organisation }
 }
 
 /// Reads and discards the rest of the body of a refused request.
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -6,11 +6,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use balsam_http::BodyFailure;
+use balsam_http::HeldMemory;
+use balsam_http::RequestBodies;
 use balsam_types::OrganisationName;
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
-use hyper::body::Body as _;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
@@ -24,22 +24,19 @@
 
 /// Limits the bytes of request bodies that the node holds, in total and per organisation.
 pub(crate) struct BodyMemory {
-    node: Arc<Semaphore>,
+    bodies: RequestBodies,
     per_organisation_bytes: usize,
     organisations: Mutex<HashMap<OrganisationName, Arc<Semaphore>>>,
 }
 
-/// Reserves memory for the bytes of one body until it is dropped.
+/// Reserves the organisation's share for the bytes of one body until it is dropped.
 #[derive(Default)]
-pub(crate) struct BodyReservation {
-    node: Option<OwnedSemaphorePermit>,
-    organisation: Option<OwnedSemaphorePermit>,
-}
+pub(crate) struct ShareReservation(Option<OwnedSemaphorePermit>);
 
 impl BodyMemory {
-    pub fn new(total_bytes: usize) -> Self {
+    pub fn new(memory: HeldMemory, total_bytes: usize) -> Self {
         Self {
-            node: Arc::new(Semaphore::new(total_bytes)),
+            bodies: RequestBodies::new(memory),
             per_organisation_bytes: total_bytes / ORGANISATION_DIVISOR,
             organisations: Mutex::default(),
         }
@@ -53,77 +50,61 @@
     }
 }
 
-impl BodyReservation {
-    /// Reserves more bytes; false if a limit would be exceeded.
-    fn reserve(
-        &mut self,
-        node: &Arc<Semaphore>,
-        organisation: &Arc<Semaphore>,
-        bytes: usize,
-    ) -> bool {
-        let Ok(count) = u32::try_from(bytes) else {
+impl ShareReservation {
+    /// Reserves more bytes; false if the share would be exceeded.
+    fn reserve(&mut self, share: &Arc<Semaphore>, bytes: usize) -> bool {
+        let permit = u32::try_from(bytes).ok();
+        let permit = permit.and_then(|count| share.clone().try_acquire_many_owned(count).ok());
+        let Some(permit) = permit else {
             return false;
         };
-        acquire_more(&mut self.organisation, organisation, count)
-            && acquire_more(&mut self.node, node, count)
-    }
-}
-
-fn acquire_more(
-    held: &mut Option<OwnedSemaphorePermit>,
-    from: &Arc<Semaphore>,
-    count: u32,
-) -> bool {
-    let Ok(permit) = from.clone().try_acquire_many_owned(count) else {
-        return false;
-    };
-    match held {
-        Some(held) => held.merge(permit),
-        None => *held = Some(permit),
+        match &mut self.0 {
+            Some(held) => held.merge(permit),
+            None => self.0 = Some(permit),
+        }
+        true
     }
-    true
 }
 
-/// Reads a complete body. Memory is reserved as the bytes arrive, because a caller that only
-/// announces a large body must not use up the memory for others.
+/// Reads a complete body, which reserves memory of the node and of its organisation.
 pub(crate) async fn read_body(
     options: &ServeOptions,
     body_memory: &BodyMemory,
     organisation: &OrganisationName,
     mut body: viz::Body,
-) -> Result<(Bytes, BodyReservation), AttemptFailure> {
+) -> Result<(Bytes, ShareReservation), AttemptFailure> {
+    let share = body_memory.organisation(organisation);
+    let mut reservation = ShareReservation::default();
     let limit = options.max_body_bytes;
-    let too_large =
-        || not_run(ProblemKind::BodyTooLarge, format!("the body exceeds {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
+    let time = Duration::from_millis(options.body_read_timeout_ms);
+    let reserve_share = |bytes| reservation.reserve(&share, bytes);
+    let read = body_memory.bodies.read(&mut body, limit, time, reserve_share).await;
+    match read {
+        Ok(bytes) => Ok((bytes, reservation)),
+        Err(failure) => Err(refusal(failure, options)),
     }
-    let organisation = body_memory.organisation(organisation);
-    let read = async {
-        let mut reservation = BodyReservation::default();
-        let mut buffer = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| {
-                not_run(ProblemKind::InvalidRequest, format!("reading the body failed: {e}"))
-            })?;
-            let Ok(data) = frame.into_data() else { continue };
-            if buffer.len() + data.len() > limit {
-                return Err(too_large());
-            }
-            if !reservation.reserve(&body_memory.node, &organisation, data.len()) {
-                let detail = "the memory for request bodies is used up";
-                return Err(not_run(ProblemKind::Overloaded, detail));
-            }
-            buffer.extend_from_slice(&data);
+}
+
+fn refusal(failure: BodyFailure, options: &ServeOptions) -> AttemptFailure {
+    let (kind, detail) = match failure {
+        BodyFailure::TooLarge => (
+            ProblemKind::BodyTooLarge,
+            format!("the body exceeds {} bytes", options.max_body_bytes),
+        ),
+        BodyFailure::Unreadable(error) => {
+            (ProblemKind::InvalidRequest, format!("reading the body failed: {error}"))
         }
-        Ok((buffer.freeze(), reservation))
-    };
-    let timeout = Duration::from_millis(options.body_read_timeout_ms);
-    match tokio::time::timeout(timeout, read).await {
-        Ok(read) => read,
-        Err(_) => {
-            let detail = format!("the body was not complete after {} ms", timeout.as_millis());
-            Err(not_run(ProblemKind::BodyTimeout, detail))
+        BodyFailure::NoMemory => {
+            (ProblemKind::Overloaded, "the memory for request bodies is used up".to_owned())
         }
-    }
+        BodyFailure::GaveWay => (
+            ProblemKind::Overloaded,
+            "the body stood still, and another one needed its memory".to_owned(),
+        ),
+        BodyFailure::TimedOut => (
+            ProblemKind::BodyTimeout,
+            format!("the body was not complete after {} ms", options.body_read_timeout_ms),
+        ),
+    };
+    not_run(kind, detail)
 }
--- a/crates/serve/src/front.rs
+++ b/crates/serve/src/front.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use balsam_http::Client;
+use balsam_http::HeldMemory;
 use balsam_http::OpenConnections;
 use balsam_types::ClaimKey;
 use balsam_types::Outcome;
@@ -29,7 +30,7 @@
 use crate::admit::AdmissionGuard;
 use crate::attempt::Dispatched;
 use crate::body::BodyMemory;
-use crate::body::BodyReservation;
+use crate::body::ShareReservation;
 use crate::body::read_body;
 use crate::caller;
 use crate::caller::not_run;
@@ -83,6 +84,8 @@
         let options = options.check()?;
         let clock = ports.now_ms.clone();
         let gate = AdmissionGate::new(options.max_running, options.max_queued, clock);
+        // Half of it is for requests.
+        let held_memory = HeldMemory::new(2 * options.max_body_bytes_total);
         let shared = Shared {
             client: Client::new(&options.client_options()),
             target_selector: TargetSelector::new(),
@@ -99,7 +102,7 @@
                 options.max_connections,
             ))),
             open_connections: OpenConnections::default(),
-            body_memory: BodyMemory::new(options.max_body_bytes_total),
+            body_memory: BodyMemory::new(held_memory, options.max_body_bytes_total),
             request_counter: Arc::default(),
             ready: AtomicBool::new(false),
             ports,
@@ -281,8 +284,8 @@
     /// The key, if the request needs a claim.
     key: Option<Arc<str>>,
     admission: Arc<AdmissionGuard>,
-    /// Reserves the memory of the body.
-    _reservation: BodyReservation,
+    /// Reserves the organisation's share of the memory for bodies.
+    _reservation: ShareReservation,
 }
 
 async fn process(
