--- a/crates/node/tests/platform/crowds.rs
+++ b/crates/node/tests/platform/crowds.rs
@@ -1,8 +1,9 @@
 //! Tests of a node process whose callers send bodies and heads that they never end, or that are far
 //! over the limit, on many connections at once.
 //!
-//! The environment variables `CROWD_CALLERS`, `CROWD_BODY_BYTES`, `CROWD_MEMORY_MB` and
-//! `CROWD_MAX_FDS` replace the figures for a run by hand.
+//! The environment variables `CROWD_CALLERS`, `CROWD_BODY_BYTES`, `CROWD_MEMORY_MB`, `CROWD_MAX_FDS`
+//! and `CROWD_BUDGET_MS` replace the figures for a run by hand. The measured ones are written beside
+//! the logs, in `target/tmp/platform-*`.
 
 use std::fmt::Write as _;
 use std::fs;
@@ -133,9 +134,10 @@
         sleep(CALLER_INTERVAL * number as u32).await;
         let mut received = String::new();
         if let Ok(mut stream) = TcpStream::connect(address).await {
+            let budget_ms = figure("CROWD_BUDGET_MS", BUDGET_MS);
             let head = format!(
                 "POST /write/x HTTP/1.1\r\nhost: club.example\r\nx-request-id: crowd-{number}\r\n\
-                 x-time-budget: {BUDGET_MS}\r\nauthorization: Bearer secret\r\n"
+                 x-time-budget: {budget_ms}\r\nauthorization: Bearer secret\r\n"
             );
             let mut is_open = stream.write_all(head.as_bytes()).await.is_ok();
             for part in parts.iter() {
@@ -160,6 +162,10 @@
     let version = bed.version.fetch_add(1, Ordering::Relaxed) + 1;
     let mut configuration: Value =
         serde_json::from_str(&processes::configuration(version)).unwrap();
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        let timeout_ms = figure("CROWD_BUDGET_MS", processes::TIME_BUDGET_MS as usize);
+        route["timeout_ms"] = json!(timeout_ms);
+    }
     configuration["limits"] = json!({
         "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
         "header_timeout_ms": BUDGET_MS, "idle_timeout_ms": BUDGET_MS,
@@ -238,17 +244,19 @@
     let peak_mb = |at: &str| {
         assert_eq!(node.process_id(), Some(process_id), "the process has ended");
         let peak_mb = peak_memory_bytes(process_id) / (1024 * 1024);
-        println!("{sent:?}: {peak_mb} MB, {} descriptors {at}", open_descriptors(process_id));
+        let descriptors = open_descriptors(process_id);
+        let text = format!("{sent:?}: {peak_mb} MB, {descriptors} descriptors\n");
+        fs::write(bed.directory.join(format!("{sent:?}-{at}.txt")), text).unwrap();
         peak_mb
     };
-    peak_mb("after the crowd has sent");
+    peak_mb("after-sending");
     let max_descriptors = base_descriptors + OTHER_FDS;
     let started = Instant::now();
     while open_descriptors(process_id) > max_descriptors && started.elapsed() < PATIENCE {
         sleep(Duration::from_millis(200)).await;
     }
     wait_for_answer(node, 100).await;
-    let peak_mb = peak_mb("at the end");
+    let peak_mb = peak_mb("at-end");
     let descriptors = open_descriptors(process_id);
     let is_within = peak_mb < memory_mb as u64 && descriptors <= max_descriptors;
     assert!(is_within, "{peak_mb} of {memory_mb} MB, {descriptors} of {max_descriptors}");
