Estimate answers from those forwarded, and place requests by cost

Requests that look alike cost the endpoints very different amounts of work. A node learns the length of answers by route and class of hints, reports the work left at each endpoint, and places requests by it where the load policy asks for it. Tests of balsam-fleet pass but for groups::a_short_model_gets_groups_from_hosts_without_its_weights, which fails in the same way without this change.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -7,6 +7,8 @@
 use balsam_types::VmName;
 
 use crate::configuration::PoolConfig;
+use crate::cost;
+use crate::cost::ExpectedCost;
 use crate::event::Arrival;
 use crate::placement;
 use crate::placement::Candidate;
@@ -39,6 +41,9 @@
 ) -> Option<Server> {
     let pool = fleet.configuration.as_ref()?.pools.get(&kind.pool)?;
     let unreported_work = unreported_work(fleet, now_ms, kind);
+    // Until the answers of a route are known, its requests are placed by the time to the first event.
+    let expected = cost::expected_cost(fleet, arrival)
+        .filter(|_| pool.engine.is_none() || fleet.costs.is_known(&arrival.route));
     let is_far = |server: &&Server| server.data_centre != fleet.settings.data_centre;
     let far_groups = fleet.serving.of(kind).iter().filter(is_far).count();
     let far_ms = unreported_work.summarised_ms / far_groups.max(1) as f64;
@@ -56,7 +61,8 @@
             // endpoint has capacity.
             let is_backed_off = load.is_some_and(|load| now_ms < load.backoff_until_ms);
             let unreported_ms = if is_far(&server) { far_ms } else { 0.0 };
-            (is_backed_off, cost(fleet, now_ms, pool, server, arrival) + unreported_ms, server)
+            let cost = cost(fleet, now_ms, pool, server, arrival, expected.as_ref());
+            (is_backed_off, cost + unreported_ms, server)
         })
         .collect();
     let only_backed_off = costs.iter().all(|(is_backed_off, ..)| *is_backed_off);
@@ -173,11 +179,38 @@
     hash_rank(node, vm) as f64 / u64::MAX as f64
 }
 
-fn cost(fleet: &Fleet, now_ms: u64, pool: &PoolConfig, server: &Server, arrival: &Arrival) -> f64 {
+fn cost(
+    fleet: &Fleet,
+    now_ms: u64,
+    pool: &PoolConfig,
+    server: &Server,
+    arrival: &Arrival,
+    expected: Option<&ExpectedCost>,
+) -> f64 {
     let candidate = candidate(fleet, now_ms, server);
-    match &pool.engine {
-        Some(engine) => placement::first_event_ms(engine, &candidate, arrival.prompt_tokens),
-        None => placement::plain_cost(&candidate),
+    let load = fleet.loads.get(&server.vm);
+    match (&pool.engine, expected) {
+        (Some(engine), Some(ExpectedCost { answer_tokens, .. })) => {
+            // On average, half of an answer under way of which nothing is known is left.
+            let unknown_tokens = u64::from(answer_tokens / 2);
+            let known = Candidate {
+                unwritten_tokens: load.map_or(0, |l| l.unwritten_tokens(now_ms, unknown_tokens)),
+                slowness: fleet.paces.slowness(now_ms, &server.vm),
+                ..candidate
+            };
+            placement::answer_cost_ms(engine, &known, arrival.prompt_tokens, *answer_tokens)
+        }
+        (Some(engine), None) => {
+            placement::first_event_ms(engine, &candidate, arrival.prompt_tokens)
+        }
+        (None, Some(ExpectedCost { duration_ms: Some(mean_ms), .. })) => {
+            let left = load.map(|load| load.left).unwrap_or_default();
+            // An average request under way has half of its time left.
+            let own_requests = left.plain_ms / (mean_ms / 2.0).max(1.0);
+            let others = f64::from(candidate.in_flight.saturating_sub(left.estimated));
+            placement::plain_cost(&Candidate { plain_requests: others + own_requests, ..candidate })
+        }
+        (None, _) => placement::plain_cost(&candidate),
     }
 }
 
@@ -192,6 +225,9 @@
         pace: server.pace,
         distance_ms: if is_local { 0.0 } else { REMOTE_ROUND_TRIP_MS },
         failure_share: load.map_or(0.0, |load| load.failure_share),
+        unwritten_tokens: 0,
+        slowness: 1.0,
+        plain_requests: f64::from(in_flight),
     }
 }
 
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -145,6 +145,17 @@
     pub loads_per_s: f64,
     /// The models.
     pub models: Vec<Model>,
+    /// What requests usually need, if the operators say so.
+    pub usual: Option<UsualTokens>,
+}
+
+/// Mean number of tokens of requests, as the operators state it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsualTokens {
+    /// Of their prompts.
+    pub prompt_tokens: u32,
+    /// Of their answers.
+    pub answer_tokens: u32,
 }
 
 impl Engine {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 
 use balsam_types::DataCentreName;
@@ -9,6 +10,7 @@
 use balsam_types::ModelName;
 use balsam_types::OrganisationName;
 use balsam_types::PoolName;
+use balsam_types::RouteName;
 use balsam_types::SegmentName;
 use balsam_types::VmName;
 
@@ -140,6 +142,8 @@
 pub struct Arrival {
     /// The attempt.
     pub attempt_id: AttemptId,
+    /// The route, by which the cost of its requests is learned.
+    pub route: RouteName,
     /// The pool.
     pub pool: PoolName,
     /// The model, for a pool of model engines.
@@ -150,8 +154,12 @@
     pub segments: Arc<[SegmentName]>,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Expected number of tokens in the answer.
+    /// Expected number of tokens in the answer, according to the caller.
     pub answer_tokens: u32,
+    /// The caller's estimate of the tokens in the answer, which is often far off.
+    pub answer_hint_tokens: Option<u32>,
+    /// Maximum number of tokens in the answer.
+    pub max_answer_tokens: u32,
     /// The priority; 0 is served first.
     pub priority: u8,
     /// The longest pause between two events of the answer that still meets the target.
@@ -181,6 +189,10 @@
     /// When the last event of any answer from this endpoint arrived, by this node's clock; updated
     /// by the reader of each answer.
     pub progress_ms: Arc<AtomicU64>,
+    /// Number of events of this attempt's answer; updated by its reader.
+    pub events: Arc<AtomicU32>,
+    /// Expected number of events, if the deployment asks for estimates.
+    pub expected_events: Option<u32>,
 }
 
 /// Refusal of a request that no endpoint takes.
@@ -298,6 +310,8 @@
     pub vm: VmName,
     /// Tokens of its prompt.
     pub prompt_tokens: u32,
+    /// Expected tokens of its answer, if the node estimates them.
+    pub answer_tokens: Option<u32>,
 }
 
 /// A group that a node considers lost because a member did not answer.
@@ -333,6 +347,8 @@
     pub in_flight: u32,
     /// Prompt tokens of requests whose first event has not arrived.
     pub unread_tokens: u64,
+    /// Tokens that are expected to follow in their answers, if the node estimates them.
+    pub unwritten_tokens: Option<u64>,
 }
 
 /// An order to an endpoint.
@@ -425,6 +441,8 @@
         target: Target,
         /// Tokens of its prompt.
         prompt_tokens: u32,
+        /// Expected tokens of its answer, if the deployment asks for estimates.
+        answer_tokens: Option<u32>,
     },
     /// Answer the request with a refusal.
     Refuse {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod choice;
 pub mod configuration;
-mod cost;
+pub mod cost;
 pub mod demand;
 pub mod directory;
 pub mod endpoint;
@@ -19,6 +19,7 @@
 mod losses;
 pub mod operators;
 pub mod own_pauses;
+pub mod pace;
 pub mod pauses;
 pub mod placement;
 pub mod planner;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use balsam_types::VmName;
 
+use crate::cost::ExpectedCost;
 use crate::event::AttemptId;
 use crate::event::AttemptOutcome;
 use crate::event::PeerLoad;
@@ -44,6 +47,89 @@
     pub unread_tokens: u64,
     /// Whether its first event has arrived.
     pub is_started: bool,
+    /// What it is expected to need, if the deployment asks for estimates.
+    pub expected: Option<ExpectedCost>,
+    /// Number of events of its answer; updated by its reader.
+    pub events: Arc<AtomicU32>,
+    /// What it still has to do, by the last update.
+    left: Left,
+    /// Since when its events are counted to measure the pace of its endpoint.
+    mark: Option<PaceMark>,
+}
+
+/// The beginning of a measurement of the pace of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct PaceMark {
+    at_ms: u64,
+    events: u32,
+    in_flight: u32,
+}
+
+/// Passes of an endpoint, as the events of one answer show them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PaceSample {
+    /// The endpoint.
+    pub vm: VmName,
+    /// Mean time between two events.
+    pub gap_ms: f64,
+    /// Mean number of requests at the endpoint.
+    pub in_flight: u32,
+}
+
+/// Number of events over which a pace is measured; the time is read once per tick.
+const PACE_EVENTS: u32 = 8;
+
+/// Work that is left of this node's attempts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Left {
+    /// Tokens that are expected to follow at a model engine.
+    pub unwritten_tokens: u64,
+    /// Expected time to the end at a plain service.
+    pub plain_ms: f64,
+    /// Attempts for which either is known.
+    pub estimated: u32,
+}
+
+impl Left {
+    fn of(running: &Running, now_ms: u64, stride: u32) -> Self {
+        let Some(expected) = &running.expected else { return Self::default() };
+        let events = running.events.load(Ordering::Relaxed);
+        let plain_ms = expected.left_ms(now_ms.saturating_sub(running.sent_ms));
+        Self {
+            unwritten_tokens: expected.unwritten_tokens(u64::from(events) * u64::from(stride)),
+            plain_ms: plain_ms.unwrap_or(0.0),
+            estimated: u32::from(plain_ms.is_some() || expected.max_answer_tokens > 0),
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.unwritten_tokens = self.unwritten_tokens.saturating_add(other.unwritten_tokens);
+        self.plain_ms += other.plain_ms;
+        self.estimated += other.estimated;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.unwritten_tokens = self.unwritten_tokens.saturating_sub(other.unwritten_tokens);
+        self.plain_ms = (self.plain_ms - other.plain_ms).max(0.0);
+        self.estimated = self.estimated.saturating_sub(other.estimated);
+    }
+}
+
+/// Load that another node causes at an endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+struct Reported {
+    at_ms: u64,
+    in_flight: u32,
+    unread_tokens: u64,
+    /// Requests whose unwritten tokens are known.
+    estimated: u32,
+    unwritten_tokens: u64,
+}
+
+impl Reported {
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms < self.at_ms.saturating_add(PEER_REPORT_TTL_MS)
+    }
 }
 
 /// The load of one endpoint.
@@ -53,8 +139,10 @@
     pub in_flight: u32,
     /// Prompt tokens of this node's attempts whose first event has not arrived.
     pub unread_tokens: u64,
-    /// Load caused by other nodes: time of the report, requests in flight and unread tokens.
-    peers: BTreeMap<Arc<str>, (u64, u32, u64)>,
+    /// What is left of this node's attempts.
+    pub left: Left,
+    /// Load caused by other nodes.
+    peers: BTreeMap<Arc<str>, Reported>,
     /// When the last event arrived, by this node's clock.
     pub progress_ms: Arc<AtomicU64>,
     /// When the first of this node's current attempts was sent. Silence is measured from then, not
@@ -73,24 +161,43 @@
 }
 
 impl EndpointLoad {
+    /// Returns the load that this node causes, for its reports.
+    pub fn own_load(&self, vm: &VmName) -> PeerLoad {
+        PeerLoad {
+            vm: vm.clone(),
+            in_flight: self.in_flight,
+            unread_tokens: self.unread_tokens,
+            unwritten_tokens: (self.left.estimated == self.in_flight)
+                .then_some(self.left.unwritten_tokens),
+        }
+    }
+
     /// Returns the requests of all nodes and the prompt tokens that are probably still unread.
     pub fn expected(&self, now_ms: u64) -> (u32, u64) {
         let unread =
-            self.peers.values().map(|(at_ms, _, tokens)| unread_by_now(now_ms, *at_ms, *tokens));
+            self.peers.values().map(|peer| unread_by_now(now_ms, peer.at_ms, peer.unread_tokens));
         (self.total(now_ms).0, unread.fold(self.unread_tokens, u64::saturating_add))
     }
 
     /// Returns the requests of all nodes and the prompt tokens that were unread at the time of the
     /// reports.
     pub fn total(&self, now_ms: u64) -> (u32, u64) {
-        let fresh = self
-            .peers
-            .values()
-            .filter(|(at_ms, ..)| now_ms < at_ms.saturating_add(PEER_REPORT_TTL_MS));
+        let fresh = self.peers.values().filter(|peer| peer.is_fresh(now_ms));
         fresh.fold((self.in_flight, self.unread_tokens), |(in_flight, unread), peer| {
-            (in_flight.saturating_add(peer.1), unread.saturating_add(peer.2))
+            (in_flight.saturating_add(peer.in_flight), unread.saturating_add(peer.unread_tokens))
         })
     }
+
+    /// Returns the tokens that all nodes expect to follow. A request of a node that does not estimate
+    /// them counts with `unknown_tokens`.
+    pub fn unwritten_tokens(&self, now_ms: u64, unknown_tokens: u64) -> u64 {
+        let fresh = self.peers.values().filter(|peer| peer.is_fresh(now_ms));
+        let of_peers = fresh.map(|peer| {
+            let unknown = u64::from(peer.in_flight.saturating_sub(peer.estimated));
+            peer.unwritten_tokens.saturating_add(unknown.saturating_mul(unknown_tokens))
+        });
+        of_peers.fold(self.left.unwritten_tokens, u64::saturating_add)
+    }
 }
 
 /// Returns how many of the unread tokens reported by another node are probably still unread.
@@ -170,7 +277,8 @@
         attempt_id: AttemptId,
         vm: &VmName,
         tokens: u32,
-    ) -> Arc<AtomicU64> {
+        expected: Option<ExpectedCost>,
+    ) -> (Arc<AtomicU64>, Arc<AtomicU32>) {
         let unread_tokens = u64::from(tokens);
         let load = self.entry(vm);
         if load.in_flight == 0 {
@@ -179,9 +287,48 @@
         load.in_flight += 1;
         load.unread_tokens += unread_tokens;
         let progress_ms = load.progress_ms.clone();
-        let running = Running { vm: vm.clone(), sent_ms: now_ms, unread_tokens, is_started: false };
+        let mut running = Running {
+            vm: vm.clone(),
+            sent_ms: now_ms,
+            unread_tokens,
+            is_started: false,
+            expected,
+            events: Arc::default(),
+            left: Left::default(),
+            mark: None,
+        };
+        running.left = Left::of(&running, now_ms, 1);
+        self.entry(vm).left.add(running.left);
+        let events = running.events.clone();
         self.running.insert(attempt_id, running);
-        progress_ms
+        (progress_ms, events)
+    }
+
+    /// Updates what is left of this node's attempts; returns what their events tell of the pace of
+    /// the endpoints. `stride` is the number of tokens of an event.
+    pub fn update_left(&mut self, now_ms: u64, stride: u32) -> Vec<PaceSample> {
+        let mut samples = Vec::new();
+        for running in self.running.values_mut().filter(|running| running.expected.is_some()) {
+            let Some(load) = self.loads.get_mut(&running.vm) else { continue };
+            load.left.subtract(running.left);
+            running.left = Left::of(running, now_ms, stride);
+            load.left.add(running.left);
+            let events = running.events.load(Ordering::Relaxed);
+            let mark = PaceMark { at_ms: now_ms, events, in_flight: load.total(now_ms).0 };
+            let before = running.mark.filter(|_| running.is_started);
+            let seen = before.map_or(0, |before| events.saturating_sub(before.events));
+            if let Some(before) = before.filter(|_| seen >= PACE_EVENTS) {
+                samples.push(PaceSample {
+                    vm: running.vm.clone(),
+                    gap_ms: now_ms.saturating_sub(before.at_ms) as f64 / f64::from(seen),
+                    in_flight: before.in_flight.midpoint(mark.in_flight),
+                });
+            }
+            if running.is_started && (before.is_none() || seen >= PACE_EVENTS) {
+                running.mark = Some(mark);
+            }
+        }
+        samples
     }
 
     /// Records that the prompt of an attempt has been read; returns its endpoint.
@@ -208,6 +355,7 @@
         load.in_flight = load.in_flight.saturating_sub(1);
         load.started = load.started.saturating_sub(u32::from(running.is_started));
         load.unread_tokens = load.unread_tokens.saturating_sub(running.unread_tokens);
+        load.left.subtract(running.left);
         let failed = match outcome {
             AttemptOutcome::Answered => Some(0.0),
             AttemptOutcome::Failed | AttemptOutcome::Faulty => Some(1.0),
@@ -237,7 +385,13 @@
     pub fn report(&mut self, now_ms: u64, report: &PeerReport) {
         self.forget_peer(&report.node);
         for peer in &report.loads {
-            let reported = (now_ms, peer.in_flight, peer.unread_tokens);
+            let reported = Reported {
+                at_ms: now_ms,
+                in_flight: peer.in_flight,
+                unread_tokens: peer.unread_tokens,
+                estimated: peer.unwritten_tokens.map_or(0, |_| peer.in_flight),
+                unwritten_tokens: peer.unwritten_tokens.unwrap_or(0),
+            };
             self.entry(&peer.vm).peers.insert(report.node.clone(), reported);
         }
     }
@@ -245,27 +399,36 @@
     /// Returns the sum of this node's load and that of the chosen other nodes.
     pub fn sum_over(&self, now_ms: u64, is_chosen: impl Fn(&Arc<str>) -> bool) -> Vec<PeerLoad> {
         let sum = |(vm, load): (&VmName, &EndpointLoad)| {
-            let chosen = load.peers.iter().filter(|(node, (at_ms, ..))| {
-                is_chosen(node) && now_ms < at_ms.saturating_add(PEER_REPORT_TTL_MS)
-            });
-            let own = (load.in_flight, load.unread_tokens);
-            let (in_flight, unread_tokens) =
-                chosen.fold(own, |sum, (_, (_, in_flight, tokens))| {
-                    (sum.0.saturating_add(*in_flight), sum.1.saturating_add(*tokens))
-                });
-            (in_flight > 0).then(|| PeerLoad { vm: vm.clone(), in_flight, unread_tokens })
+            let chosen =
+                load.peers.iter().filter(|(node, peer)| is_chosen(node) && peer.is_fresh(now_ms));
+            let mut sum = load.own_load(vm);
+            for (_, peer) in chosen {
+                let is_estimated = peer.estimated == peer.in_flight;
+                let tokens = is_estimated.then_some(peer.unwritten_tokens);
+                let both = sum.unwritten_tokens.zip(tokens);
+                sum.unwritten_tokens = both.map(|(sum, tokens)| sum.saturating_add(tokens));
+                sum.in_flight = sum.in_flight.saturating_add(peer.in_flight);
+                sum.unread_tokens = sum.unread_tokens.saturating_add(peer.unread_tokens);
+            }
+            (sum.in_flight > 0).then_some(sum)
         };
         self.loads.iter().filter_map(sum).collect()
     }
 
     /// Adds a request that another node sent after its last report.
     pub fn peer_sent(&mut self, now_ms: u64, node: &Arc<str>, sent: &SentRequest) {
-        let fresh = (now_ms, 0, 0);
+        let fresh = Reported { at_ms: now_ms, ..Reported::default() };
         let peer = self.entry(&sent.vm).peers.entry(node.clone()).or_insert(fresh);
         // Part of what was unread at an earlier time has been read since.
-        let unread = unread_by_now(now_ms, peer.0, peer.2);
-        let prompt_tokens = u64::from(sent.prompt_tokens);
-        *peer = (now_ms, peer.1.saturating_add(1), unread.saturating_add(prompt_tokens));
+        let unread = unread_by_now(now_ms, peer.at_ms, peer.unread_tokens);
+        let answer_tokens = u64::from(sent.answer_tokens.unwrap_or(0));
+        *peer = Reported {
+            at_ms: now_ms,
+            in_flight: peer.in_flight.saturating_add(1),
+            unread_tokens: unread.saturating_add(u64::from(sent.prompt_tokens)),
+            estimated: peer.estimated.saturating_add(u32::from(sent.answer_tokens.is_some())),
+            unwritten_tokens: peer.unwritten_tokens.saturating_add(answer_tokens),
+        };
     }
 
     /// Removes the load that another node reported.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -29,6 +29,13 @@
     pub distance_ms: f64,
     /// Fraction of recent answers that were failures.
     pub failure_share: f64,
+    /// Tokens that are expected to follow in the answers under way.
+    pub unwritten_tokens: u64,
+    /// Measured factor by which it is slower than its pace.
+    pub slowness: f64,
+    /// Requests at a plain service by the time that they are expected to take, where an average one
+    /// counts as 1; equal to those in flight if nothing is known.
+    pub plain_requests: f64,
 }
 
 /// Returns the duration of one pass of a group.
@@ -52,6 +59,34 @@
     current_ms * MEAN_REMAINING_PASS + current_ms + read_ms + wait_ms + candidate.distance_ms
 }
 
+/// Weight of the time that a request adds to its own answer and to those under way, compared with the
+/// time to its first event.
+const ANSWER_WEIGHT: f64 = 0.1;
+
+/// Predicts the time to the first event of a request at an engine's group, together with the weighted
+/// time that the request takes there after it and adds to the answers under way.
+///
+/// Another request lengthens each pass that both are written in, and an answer under way is written
+/// for as long as its unwritten tokens need. Every answer under way also waits while the prompt is
+/// read.
+pub fn answer_cost_ms(
+    engine: &Engine,
+    candidate: &Candidate,
+    prompt_tokens: u32,
+    answer_tokens: u32,
+) -> f64 {
+    let pace = candidate.pace * candidate.slowness;
+    let running = f64::from(candidate.in_flight.min(engine.slots));
+    let own_tokens = f64::from(answer_tokens);
+    let mean_left_tokens = candidate.unwritten_tokens as f64 / running.max(1.0);
+    let own_ms = own_tokens * (engine.step_ms + engine.per_sequence_ms);
+    let shared_ms = running * own_tokens.min(mean_left_tokens) * engine.per_sequence_ms;
+    let read_ms = f64::from(prompt_tokens) / engine.read_per_ms;
+    let added_ms = own_ms + 2.0 * shared_ms + running * read_ms;
+    let measured = Candidate { pace, ..*candidate };
+    first_event_ms(engine, &measured, prompt_tokens) + ANSWER_WEIGHT * pace * added_ms
+}
+
 /// Fraction of the longest acceptable pause between events that a pass may take; the rest is for
 /// the network.
 const PASS_SHARE: f64 = 0.9;
@@ -107,7 +142,7 @@
 /// Predicts the relative cost of a request at an endpoint of a plain service.
 pub fn plain_cost(candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
-    let load = f64::from(candidate.in_flight) / slots;
+    let load = candidate.plain_requests / slots;
     load + candidate.distance_ms * DISTANCE_WEIGHT + candidate.failure_share * FAILURE_COST
 }
 
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -197,6 +197,7 @@
         effects
             .push(Effect::LogDecision(Decision::EndpointGone { vm: endpoint.vm.clone(), reason }));
         fleet.loads.forget(&endpoint.vm);
+        fleet.paces.forget(&endpoint.vm);
         fleet.serving.remove(&endpoint.vm);
         fleet.planner.departed(now_ms, endpoint);
     }
@@ -326,15 +327,20 @@
     if arrival.is_retry {
         fleet.budget(now_ms, &arrival.pool).spend(now_ms);
     }
-    let progress_ms = fleet.loads.start(now_ms, attempt_id, &server.vm, prompt_tokens);
+    let expected = cost::expected_cost(fleet, &arrival);
+    let (progress_ms, events) =
+        fleet.loads.start(now_ms, attempt_id, &server.vm, prompt_tokens, expected);
+    let answer = expected.and_then(|expected| Some((expected.answer_tokens, expected.events?)));
+    let (answer_tokens, expected_events) = answer.unzip();
     if now_ms < server.cold_until_ms {
         fleet.loads.entry(&server.vm).cold_allowance.spend();
     }
     let (kind, vm) = (kind.clone(), server.vm.clone());
     let dispatched = Dispatched { kind, vm, arrival, has_continued: false };
     fleet.dispatched.insert(attempt_id, dispatched);
-    let target = Target { vm: server.vm.clone(), address: server.address, progress_ms };
-    effects.push(Effect::Dispatch { attempt_id, target, prompt_tokens });
+    let (vm, address) = (server.vm.clone(), server.address);
+    let target = Target { vm, address, progress_ms, events, expected_events };
+    effects.push(Effect::Dispatch { attempt_id, target, prompt_tokens, answer_tokens });
 }
 
 /// Dispatches queued requests while there is capacity.
@@ -368,6 +374,7 @@
         fleet.quarantine.closed(now_ms, &running.vm, running.sent_ms);
     }
     record_evidence(fleet, now_ms, &dispatched, outcome);
+    cost::learn(fleet, now_ms, &dispatched.arrival, &running, outcome);
     let kind = dispatched.kind;
     if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
         losses::heard_from(fleet, now_ms, &running.vm);
@@ -498,6 +505,7 @@
     evacuations::expire(fleet, now_ms, effects);
     update_leadership(fleet, now_ms, effects);
     choice::refill_cold_allowances(fleet, now_ms);
+    cost::update(fleet, now_ms);
     fleet.pauses.expire(now_ms);
     losses::repeat_due_probes(fleet, now_ms, effects);
     losses::probe_doubted_heads(fleet, now_ms, effects);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -16,13 +16,13 @@
 
 use crate::configuration::Configuration;
 use crate::configuration::Engine;
+use crate::cost::LearnedCosts;
 use crate::demand::Demand;
 use crate::directory::Directory;
 use crate::event::Arrival;
 use crate::event::AttemptId;
 use crate::event::HeadReport;
 use crate::event::LostGroup;
-use crate::event::PeerLoad;
 use crate::event::PeerReport;
 use crate::event::Scope;
 use crate::head_evidence;
@@ -38,6 +38,7 @@
 use crate::operators::OperatorsView;
 use crate::operators::Watch;
 use crate::own_pauses::OwnPauses;
+use crate::pace::Paces;
 use crate::pauses::Pauses;
 use crate::planner::Planner;
 use crate::position::StorePosition;
@@ -182,6 +183,10 @@
     pub loads: LoadTable,
     /// Queued requests.
     pub waiting: Waiting,
+    /// What requests cost, learned from their answers.
+    pub costs: LearnedCosts,
+    /// Which endpoints are slower than configured.
+    pub paces: Paces,
     /// Work requested by callers.
     pub demand: Demand,
     /// Which data centres cannot be reached.
@@ -225,6 +230,8 @@
             own_pauses: OwnPauses::default(),
             loads: LoadTable::default(),
             waiting: Waiting::default(),
+            costs: LearnedCosts::default(),
+            paces: Paces::default(),
             demand: Demand::default(),
             reachability: Reachability::default(),
             suspicions: Suspicions::default(),
@@ -417,11 +424,7 @@
 
     /// Returns the report that is sent to other nodes.
     pub fn report(&self, now_ms: u64) -> PeerReport {
-        let loads = self.loads.own().map(|(vm, load)| PeerLoad {
-            vm: vm.clone(),
-            in_flight: load.in_flight,
-            unread_tokens: load.unread_tokens,
-        });
+        let loads = self.loads.own().map(|(vm, load)| load.own_load(vm));
         PeerReport {
             node: self.settings.node.clone(),
             data_centre: self.settings.data_centre.clone(),
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -59,7 +59,12 @@
 fn reported_requests_of_other_nodes_are_counted() {
     let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
     let report = PeerReport {
-        loads: vec![PeerLoad { vm: vm("one"), in_flight: 12, unread_tokens: 0 }],
+        loads: vec![PeerLoad {
+            vm: vm("one"),
+            in_flight: 12,
+            unread_tokens: 0,
+            unwritten_tokens: None,
+        }],
         ..report("other")
     };
     reduce(&mut fleet, 1_000, Event::Peer(report));
@@ -75,7 +80,12 @@
 fn the_report_of_a_silent_node_expires() {
     let mut fleet = fleet(vec![support::head("one", 1)]);
     let report = PeerReport {
-        loads: vec![PeerLoad { vm: vm("one"), in_flight: 17, unread_tokens: 0 }],
+        loads: vec![PeerLoad {
+            vm: vm("one"),
+            in_flight: 17,
+            unread_tokens: 0,
+            unwritten_tokens: None,
+        }],
         ..report("other")
     };
     reduce(&mut fleet, 1_000, Event::Peer(report));
@@ -281,7 +291,12 @@
 fn reported_prompts_count_less_with_their_age() {
     let mut load = balsam_fleet::load::LoadTable::default();
     let report = PeerReport {
-        loads: vec![PeerLoad { vm: vm("one"), in_flight: 3, unread_tokens: 3_000 }],
+        loads: vec![PeerLoad {
+            vm: vm("one"),
+            in_flight: 3,
+            unread_tokens: 3_000,
+            unwritten_tokens: None,
+        }],
         ..report("other")
     };
     load.report(1_000, &report);
@@ -383,7 +398,9 @@
 /// share the limits of retries and of cold starts. The summary of a data centre replaces its nodes.
 #[test]
 fn the_summary_of_a_data_centre_replaces_its_nodes() {
-    let load = |in_flight| vec![PeerLoad { vm: vm("one"), in_flight, unread_tokens: 100 }];
+    let load = |in_flight| {
+        vec![PeerLoad { vm: vm("one"), in_flight, unread_tokens: 100, unwritten_tokens: None }]
+    };
     let far = |name: &str, in_flight| PeerReport {
         data_centre: support::data_centre("b"),
         loads: load(in_flight),
@@ -398,7 +415,12 @@
     assert_eq!(summary.scope, Scope::DataCentre { nodes: 39, age_ms: 97 });
     assert_eq!(
         summary.loads,
-        vec![PeerLoad { vm: vm("one"), in_flight: 76, unread_tokens: 3_800 }]
+        vec![PeerLoad {
+            vm: vm("one"),
+            in_flight: 76,
+            unread_tokens: 3_800,
+            unwritten_tokens: None
+        }]
     );
 
     let mut fleet = fleet(vec![support::head("one", 1)]);
@@ -466,7 +488,7 @@
 fn an_announced_request_of_another_node_is_counted_at_once() {
     let mut fleet = fleet(vec![support::head("one", 1), support::head("two", 2)]);
     reduce(&mut fleet, 1_000, Event::Peer(report("other")));
-    let first = SentRequest { vm: vm("one"), prompt_tokens: 1_400 };
+    let first = SentRequest { vm: vm("one"), prompt_tokens: 1_400, answer_tokens: None };
     let sent = Event::PeerSent { node: Arc::from("other"), sent: vec![first] };
     reduce(&mut fleet, 1_010, sent.clone());
     let effects = reduce(&mut fleet, 1_015, Event::Arrive(arrival(1, 1_015)));
@@ -499,7 +521,7 @@
         ..report("b")
     };
     reduce(&mut fleet, 1_000, Event::Peer(sum_over));
-    let load = PeerLoad { vm: vm("near"), in_flight: 4, unread_tokens };
+    let load = PeerLoad { vm: vm("near"), in_flight: 4, unread_tokens, unwritten_tokens: None };
     reduce(&mut fleet, 1_000, Event::Peer(PeerReport { loads: vec![load], ..report("other") }));
     let effects = reduce(&mut fleet, 1_010, Event::Arrive(arrival(1, 1_010)));
     assert_eq!(dispatched(&effects, 1), Some(vm(expected)));
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the fleet's decisions in virtual time.
 
+mod cost;
 mod directory;
 mod endpoint_notices;
 mod groups;
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -22,6 +22,7 @@
 use balsam_types::GroupName;
 use balsam_types::ModelName;
 use balsam_types::PoolName;
+use balsam_types::RouteName;
 use balsam_types::VmName;
 
 pub const POOL: &str = "reports";
@@ -67,6 +68,7 @@
         form_ms: 300,
         loads_per_s: 5.0,
         models: vec![model(LARGE, 4, 1.0, 16_000, 1_600), model(SMALL, 2, 0.6, 12_000, 1_100)],
+        usual: None,
     }
 }
 
@@ -137,12 +139,15 @@
 pub fn arrival(attempt_id: u64, now_ms: u64) -> Arrival {
     Arrival {
         attempt_id,
+        route: RouteName::from_foreign("reports"),
         pool: PoolName::try_from(POOL).unwrap(),
         model: Some(model(LARGE)),
         organisation: None,
         segments: Arc::default(),
         prompt_tokens: 1_400,
         answer_tokens: 170,
+        answer_hint_tokens: Some(170),
+        max_answer_tokens: 400,
         priority: 1,
         gap_target_ms: 300,
         target_at_ms: now_ms + 400,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -43,4 +43,8 @@
     pub prompt_tokens: u32,
     /// Expected number of tokens in the answer.
     pub answer_tokens: u32,
+    /// The caller's estimate of the tokens in the answer.
+    pub answer_hint_tokens: Option<u32>,
+    /// Maximum number of tokens in the answer.
+    pub max_answer_tokens: u32,
 }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -47,6 +47,9 @@
 /// Capacity of the queue of sent requests that are to be announced to other nodes.
 const SENT_QUEUE_LEN: usize = 256;
 
+/// Factor from which an estimate is logged as far off; callers' own estimates often are.
+const LOGGED_ESTIMATE_RATIO: f64 = 10.0;
+
 type DispatchResult = Result<Target, Refusal>;
 
 /// Delivers the reducer's effects to one attempt.
@@ -113,6 +116,7 @@
     pub fn progress(&mut self) {
         self.target.progress_ms.store(now_ms(), Ordering::Relaxed);
         self.events = (self.events + 1).min(3);
+        self.target.events.fetch_add(1, Ordering::Relaxed);
         match self.events {
             1 => self.hub.apply(Event::Started(self.attempt_id)),
             2 => self.hub.apply(Event::Continued(self.attempt_id)),
@@ -133,6 +137,12 @@
     fn finish(&mut self, outcome: AttemptOutcome) {
         if !self.has_ended {
             self.has_ended = true;
+            if outcome == AttemptOutcome::Answered
+                && let Some(expected) = self.target.expected_events
+            {
+                let events = self.target.events.load(Ordering::Relaxed);
+                self.hub.record_estimate(self.attempt_id, &self.target.vm, events, expected);
+            }
             self.hub.finish(self.attempt_id, outcome);
         }
     }
@@ -285,15 +295,29 @@
         self.apply(Event::Ended { attempt_id, outcome });
     }
 
+    /// Records how an answer compares with its estimate; an estimate that was far off is logged.
+    fn record_estimate(&self, attempt_id: AttemptId, vm: &VmName, events: u32, expected: u32) {
+        self.metrics.estimate(events, expected);
+        let ratio = f64::from(events.max(1)) / f64::from(expected.max(1));
+        if ratio.max(1.0 / ratio) >= LOGGED_ESTIMATE_RATIO
+            && let Some(dropped) = self.log_limiter.take("estimate_off")
+        {
+            info!(self.log, "the estimate of an answer was far off"; "kind" => "estimate_off",
+                "attempt" => attempt_id, "vm" => %vm, "events" => events,
+                "expected_events" => expected, "dropped_lines" => dropped);
+        }
+    }
+
     fn handles(&self) -> std::sync::MutexGuard<'_, HashMap<AttemptId, AttemptHandle>> {
         self.handles.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn execute(self: &Arc<Self>, effect: Effect) {
         match effect {
-            Effect::Dispatch { attempt_id, target, prompt_tokens } => {
+            Effect::Dispatch { attempt_id, target, prompt_tokens, answer_tokens } => {
                 // If the queue is full, the next report still covers the request.
-                let _ = self.sent.try_send(SentRequest { vm: target.vm.clone(), prompt_tokens });
+                let vm = target.vm.clone();
+                let _ = self.sent.try_send(SentRequest { vm, prompt_tokens, answer_tokens });
                 self.decide(attempt_id, Ok(target));
             }
             Effect::Refuse { attempt_id, refusal } => self.decide(attempt_id, Err(refusal)),
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -34,6 +34,9 @@
 /// prompts of 2^32 tokens.
 const MAX_UNREAD_TOKENS: u64 = 1 << 56;
 
+/// Highest number of unwritten tokens that a report may state for one endpoint, for the same reason.
+const MAX_UNWRITTEN_TOKENS: u64 = MAX_UNREAD_TOKENS;
+
 /// Highest number of busy groups that a report may state: products with it must remain finite.
 const MAX_BUSY_GROUPS: f64 = 1e12;
 
@@ -99,6 +102,9 @@
     vm: String,
     #[prost(uint32, tag = "2")]
     prompt_tokens: u32,
+    /// Absent from nodes that do not estimate it.
+    #[prost(uint32, optional, tag = "3")]
+    answer_tokens: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -233,6 +239,9 @@
     in_flight: u32,
     #[prost(uint64, tag = "3")]
     unread_tokens: u64,
+    /// Absent from nodes that do not estimate it.
+    #[prost(uint64, optional, tag = "4")]
+    unwritten_tokens: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -283,6 +292,7 @@
         vm: load.vm.to_string(),
         in_flight: load.in_flight.min(MAX_IN_FLIGHT),
         unread_tokens: load.unread_tokens.min(MAX_UNREAD_TOKENS),
+        unwritten_tokens: load.unwritten_tokens.map(|tokens| tokens.min(MAX_UNWRITTEN_TOKENS)),
     });
     let demand = report.demand.iter().map(|(model, busy)| ModelDemand {
         model: model.to_string(),
@@ -369,8 +379,11 @@
 
 /// Encodes requests that a node has just sent.
 pub(crate) fn encode_sent(node: &str, sent: &[SentRequest]) -> Vec<u8> {
-    let request =
-        |sent: &SentRequest| SentTo { vm: sent.vm.to_string(), prompt_tokens: sent.prompt_tokens };
+    let request = |sent: &SentRequest| SentTo {
+        vm: sent.vm.to_string(),
+        prompt_tokens: sent.prompt_tokens,
+        answer_tokens: sent.answer_tokens,
+    };
     let sent = Sent { node: node.to_owned(), requests: sent.iter().map(request).collect() };
     Datagram { sent: Some(sent), ..Datagram::default() }.encode_to_vec()
 }
@@ -414,7 +427,8 @@
 }
 
 fn sent_from(sent: SentTo) -> Option<SentRequest> {
-    Some(SentRequest { vm: VmName::from_foreign(&sent.vm), prompt_tokens: sent.prompt_tokens })
+    let SentTo { vm, prompt_tokens, answer_tokens } = sent;
+    Some(SentRequest { vm: VmName::from_foreign(&vm), prompt_tokens, answer_tokens })
 }
 
 fn node_from(node: Node) -> Option<KnownNode> {
@@ -430,7 +444,11 @@
         let vm = VmName::from_foreign(&load.vm);
         let in_flight = at_most(load.in_flight, MAX_IN_FLIGHT)?;
         let unread_tokens = at_most(load.unread_tokens, MAX_UNREAD_TOKENS)?;
-        Some(PeerLoad { vm, in_flight, unread_tokens })
+        let unwritten_tokens = match load.unwritten_tokens {
+            Some(tokens) => Some(at_most(tokens, MAX_UNWRITTEN_TOKENS)?),
+            None => None,
+        };
+        Some(PeerLoad { vm, in_flight, unread_tokens, unwritten_tokens })
     };
     let demand = |demand: ModelDemand| {
         let busy = BusyGroups {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,7 @@
     decisions: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
+    estimate_ratio: Histogram<f64>,
     idle_endpoint_ms: Counter<u64>,
     operators_age_ms: Gauge<u64>,
     store_era: Gauge<u64>,
@@ -27,6 +28,9 @@
 const BUCKET_BOUNDS_MS: [f64; 12] =
     [5.0, 10.0, 25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0];
 
+/// Histogram bucket bounds of the ratio between the events of an answer and their expected number.
+const BUCKET_BOUNDS_RATIO: [f64; 8] = [0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0];
+
 impl RelayMetrics {
     /// Creates the instruments.
     pub fn new(meter: &Meter) -> Self {
@@ -43,6 +47,10 @@
             decisions: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
+            estimate_ratio: meter
+                .f64_histogram("balsamturn.relay.estimate_ratio")
+                .with_boundaries(BUCKET_BOUNDS_RATIO.to_vec())
+                .build(),
             idle_endpoint_ms: meter.u64_counter("balsamturn.fleet.idle_endpoint_ms").build(),
             operators_age_ms: meter.u64_gauge("balsamturn.fleet.operators_age_ms").build(),
             store_era: meter.u64_gauge("balsamturn.fleet.store_era").build(),
@@ -90,6 +98,11 @@
         self.first_event_ms.record(ms as f64, &[]);
     }
 
+    /// Records how many events an answer had compared with those that were expected.
+    pub(crate) fn estimate(&self, events: u32, expected: u32) {
+        self.estimate_ratio.record(f64::from(events) / f64::from(expected.max(1)), &[]);
+    }
+
     pub(crate) fn waited(&self, ms: u64) {
         self.wait_ms.record(ms as f64, &[]);
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -72,12 +72,15 @@
             self.organisation.as_ref().and_then(|organisation| organisation.priority);
         Arrival {
             attempt_id: 0,
+            route: self.route.name.clone(),
             pool: self.pool.clone(),
             model: self.work.model.clone(),
             organisation: self.organisation.as_ref().map(|o| o.name.clone()),
             segments: self.work.shared_segments.clone(),
             prompt_tokens: self.work.prompt_tokens,
             answer_tokens: self.work.answer_tokens,
+            answer_hint_tokens: self.work.answer_hint_tokens,
+            max_answer_tokens: self.work.max_answer_tokens,
             priority: organisation_priority.unwrap_or(self.route.priority),
             gap_target_ms: self.route.gap_target_ms,
             target_at_ms: self.target_at_ms,
