--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -61,14 +61,14 @@
 
 /// Weight of the time that a request adds to its own answer and to those under way, compared with the
 /// time to its first event.
-const ANSWER_WEIGHT: f64 = 0.1;
+const ANSWER_WEIGHT: f64 = 0.05;
 
 /// Predicts the time to the first event of a request at an engine's group, together with the weighted
 /// time that the request takes there after it and adds to the answers under way.
 ///
 /// Another request lengthens each pass that both are written in, and an answer under way is written
-/// for as long as its unwritten tokens need. Every answer under way also waits while the prompt is
-/// read.
+/// for as long as its unwritten tokens need. That time counts twice: for the request and for the
+/// others. Slower passes thus count most for long answers.
 pub fn answer_cost_ms(
     engine: &Engine,
     candidate: &Candidate,
@@ -81,8 +81,7 @@
     let mean_left_tokens = candidate.unwritten_tokens as f64 / running.max(1.0);
     let own_ms = own_tokens * (engine.step_ms + engine.per_sequence_ms);
     let shared_ms = running * own_tokens.min(mean_left_tokens) * engine.per_sequence_ms;
-    let read_ms = f64::from(prompt_tokens) / engine.read_per_ms;
-    let added_ms = own_ms + 2.0 * shared_ms + running * read_ms;
+    let added_ms = own_ms + 2.0 * shared_ms;
     let measured = Candidate { pace, ..*candidate };
     first_event_ms(engine, &measured, prompt_tokens) + ANSWER_WEIGHT * pace * added_ms
 }
