--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod admission_replay;
+mod cost;
 mod directory;
 mod endpoint_notices;
 mod groups;
