Read answers on for callers that pause, within the held memory

A stream was read from its endpoint only as fast as its caller read. An endpoint cuts off an answer that stays unread for some seconds, so a caller that paused lost the rest. A caller that read nothing at all kept its connection and its place at the endpoint: the write timeout held only after the end of the body.

A caller that reads nothing for 30 s loses its connection, and after 5 s when another answer finds no memory, the longest blocked first. Counted by cause, with a bounded log line.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -13,6 +13,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -20,10 +21,13 @@
 
 use balsam_fleet::configuration::CallerLimits;
 use balsam_http::Linger;
+use bytes::Bytes;
 use futures::FutureExt;
+use futures::stream::BoxStream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use slog::info;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -33,9 +37,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::answer::Broken;
 use crate::front::Shared;
 use crate::front::handle_request;
 use crate::front::refuse_request;
+use crate::read_ahead::ReadAhead;
+use crate::read_ahead::ReadAheadEvents;
+use crate::read_ahead::Unsent;
 
 /// Buffer for the head of a request. Limits of later versions hold for open connections up to this
 /// size.
@@ -65,6 +73,13 @@
 /// later, and that of a caller that is alive but does not read never.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Like `WRITE_TIMEOUT`, when other answers find no memory. Callers whose link is cut for a moment read
+/// on after less, and endpoints cut off an answer that nobody reads after some seconds.
+const SHORT_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How often events that found no memory are tried again.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -73,6 +88,8 @@
     state: Mutex<ActivityState>,
     /// Asks for the end of the connection unless a request has arrived meanwhile.
     close_idle: Notify,
+    /// Asks for the end of the connection, whose caller reads nothing, as memory is short.
+    give_way: Notify,
 }
 
 struct ActivityState {
@@ -84,6 +101,10 @@
     head_since: Option<Instant>,
     /// Since when bytes of an answer wait for the caller to read.
     blocked_since: Option<Instant>,
+    /// Bytes of an answer that hyper has and has not written.
+    unsent_bytes: usize,
+    /// The answer that is being written, if it is a stream.
+    read_ahead: Weak<ReadAhead>,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
     /// Whether the connection is closed because it is idle, rather than after an answer.
@@ -104,8 +125,8 @@
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
         let head_timeout = Duration::from_millis(self.limits.header_timeout_ms);
         match (self.blocked_since, self.head_since) {
-            _ if self.running_requests > 0 => None,
             (Some(since), _) => Some(since + WRITE_TIMEOUT),
+            _ if self.running_requests > 0 => None,
             (None, Some(since)) => Some(since + head_timeout),
             (None, None) if self.had_request || self.is_closing => {
                 Some(self.idle_since + idle_timeout)
@@ -132,11 +153,13 @@
             idle_since,
             head_since: None,
             blocked_since: None,
+            unsent_bytes: 0,
+            read_ahead: Weak::new(),
             limits,
             is_closed_idle: false,
             is_closing: false,
         };
-        Self { state: Mutex::new(state), close_idle: Notify::new() }
+        Self { state: Mutex::new(state), close_idle: Notify::new(), give_way: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, ActivityState> {
@@ -165,6 +188,9 @@
     /// Records whether a write has to wait until the caller reads.
     fn wrote(&self, result: &Poll<io::Result<usize>>) {
         let mut state = self.state();
+        if let Poll::Ready(Ok(bytes)) = result {
+            state.unsent_bytes = state.unsent_bytes.saturating_sub(*bytes);
+        }
         if result.is_pending() {
             state.blocked_since.get_or_insert_with(Instant::now);
         } else if state.blocked_since.take().is_some() {
@@ -172,6 +198,51 @@
         }
     }
 
+    /// Returns since when the caller has read nothing, if that is long enough to close its connection
+    /// in favour of others and sets memory free.
+    fn stalled_since(&self) -> Option<Instant> {
+        let since = self.state().blocked_since;
+        since.filter(|since| since.elapsed() >= SHORT_WRITE_TIMEOUT)
+    }
+
+    /// Records bytes that hyper gets of an answer; returns all that it has not written.
+    fn add_unsent(&self, bytes: usize) -> Unsent {
+        let mut state = self.state();
+        state.unsent_bytes += bytes;
+        Unsent { is_blocked: state.blocked_since.is_some(), bytes: state.unsent_bytes }
+    }
+
+    /// Reads on the answer of a caller that does not read.
+    fn read_on(&self, cx: &mut Context<'_>) -> ReadOn {
+        let (read_ahead, is_blocked) = {
+            let state = self.state();
+            (state.read_ahead.upgrade(), state.blocked_since.is_some())
+        };
+        match read_ahead {
+            Some(read_ahead) if is_blocked && read_ahead.fill(cx) => ReadOn::Read,
+            Some(_) if is_blocked => ReadOn::NoMemory,
+            Some(read_ahead) if read_ahead.take_deferred() => ReadOn::PollAgain,
+            _ => ReadOn::Read,
+        }
+    }
+
+    /// Counts and logs the end of a connection whose caller reads nothing.
+    fn log_unread(&self, shared: &Shared, cause: &'static str) {
+        let (read_ahead, since) = {
+            let state = self.state();
+            (state.read_ahead.upgrade(), state.blocked_since)
+        };
+        let Some(since) = since else { return };
+        let hub = &shared.hub;
+        hub.metrics.unread_answer(cause);
+        if let Some(dropped) = hub.log_limiter.take("answer_unread") {
+            info!(hub.log, "a caller reads nothing of its answer"; "kind" => "answer_unread",
+                "cause" => cause, "unread_ms" => since.elapsed().as_millis() as u64,
+                "held_bytes" => read_ahead.map_or(0, |read_ahead| read_ahead.held_bytes()),
+                "free_bytes" => shared.held_memory.free_bytes(), "dropped_lines" => dropped);
+        }
+    }
+
     /// Closes the connection once nothing arrives any more. A head that is arriving, and a request
     /// that a new connection is about to bring, still get an answer.
     fn close(&self) {
@@ -199,6 +270,25 @@
     }
 }
 
+/// What became of the events that a caller does not read.
+enum ReadOn {
+    /// There are none, or they were read.
+    Read,
+    /// There is no memory for them.
+    NoMemory,
+    /// The caller reads, and the connection has to take them.
+    PollAgain,
+}
+
+/// Closes the connection whose caller has read nothing for longest, so that other answers find memory.
+/// What it was sent does not look complete.
+pub(crate) fn close_stalled(shared: &Shared) {
+    let stalled = shared.open_connections.take_lowest(Activity::stalled_since);
+    if let Some(activity) = stalled {
+        activity.give_way.notify_one();
+    }
+}
+
 /// Marks a connection as in use by a request until dropped.
 pub(crate) struct RunningRequest {
     shared: Arc<Shared>,
@@ -215,6 +305,18 @@
         }
         Self { shared, activity }
     }
+
+    /// Lets the connection read the events of an answer on while its caller does not read.
+    pub fn read_ahead(
+        &self,
+        events: BoxStream<'static, Result<Bytes, Broken>>,
+    ) -> BoxStream<'static, Result<Bytes, Broken>> {
+        let read_ahead = Arc::new(ReadAhead::new(events, self.shared.held_memory.clone()));
+        self.activity.state().read_ahead = Arc::downgrade(&read_ahead);
+        let activity = self.activity.clone();
+        let connection = move |bytes| activity.add_unsent(bytes);
+        Box::pin(ReadAheadEvents { read_ahead, connection })
+    }
 }
 
 impl Drop for RunningRequest {
@@ -344,6 +446,7 @@
     let mut close = pin!(shared.close_started());
     let mut timer = pin!(sleep(RUNNING_CHECK_INTERVAL));
     let mut close_idle = pin!(activity.close_idle.notified().fuse());
+    let mut give_way = pin!(activity.give_way.notified());
     let mut is_closing = false;
     let mut is_ending = false;
     poll_fn(|cx| {
@@ -353,6 +456,20 @@
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(());
             }
+            match activity.read_on(cx) {
+                ReadOn::Read => {}
+                ReadOn::PollAgain => continue,
+                ReadOn::NoMemory => {
+                    close_stalled(shared);
+                    let retry_at = Instant::now() + MEMORY_RETRY_INTERVAL;
+                    let check_at = timer.deadline().min(retry_at);
+                    timer.as_mut().reset(check_at);
+                }
+            }
+            if give_way.as_mut().poll(cx).is_ready() {
+                activity.log_unread(shared, "memory");
+                return Poll::Ready(());
+            }
             if !is_closing && close.as_mut().poll(cx).is_ready() {
                 is_closing = true;
                 activity.close();
@@ -382,7 +499,10 @@
                     connection.as_mut().graceful_shutdown();
                     timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 }
-                Expiry::CloseIdle | Expiry::Drop => return Poll::Ready(()),
+                Expiry::CloseIdle | Expiry::Drop => {
+                    activity.log_unread(shared, "time");
+                    return Poll::Ready(());
+                }
             }
         }
     })
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod open_requests;
 mod plain;
+mod read_ahead;
 mod request;
 mod stream;
 mod upstream;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -15,6 +15,7 @@
     repeats: Counter<u64>,
     attempt_failures: Counter<u64>,
     connections_over_limit: Counter<u64>,
+    unread_answers: Counter<u64>,
     decisions: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
@@ -40,6 +41,7 @@
             connections_over_limit: meter
                 .u64_counter("balsamturn.relay.connections_over_limit")
                 .build(),
+            unread_answers: meter.u64_counter("balsamturn.relay.unread_answers").build(),
             decisions: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
@@ -70,6 +72,10 @@
         self.connections_over_limit.add(1, &[KeyValue::new("action", action)]);
     }
 
+    pub(crate) fn unread_answer(&self, cause: &'static str) {
+        self.unread_answers.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     pub(crate) fn decision(&self, kind: &'static str, decision: &Decision) {
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
         if let Decision::Use { model, idle_endpoint_ms, .. } = decision {
--- a/crates/relay/src/open_requests.rs
+++ b/crates/relay/src/open_requests.rs
@@ -49,7 +49,7 @@
     ) -> OpenRequestGuard {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         self.lock().insert(number, OpenRequest { id, arrived_ms: now_ms(), request: None });
-        OpenRequestGuard { requests: self.clone(), hub, number, _running: running }
+        OpenRequestGuard { requests: self.clone(), hub, number, running }
     }
 
     /// Returns the number of open requests.
@@ -88,7 +88,7 @@
     requests: Arc<OpenRequests>,
     hub: Arc<Hub>,
     number: u64,
-    _running: Arc<RunningRequest>,
+    running: Arc<RunningRequest>,
 }
 
 impl OpenRequestGuard {
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Lets the connection read the events of the answer on while its caller does not read.
+    pub fn read_ahead(
+        &self,
+        events: BoxStream<'static, Result<Bytes, Broken>>,
+    ) -> BoxStream<'static, Result<Bytes, Broken>> {
+        self.running.read_ahead(events)
+    }
+
     /// Ends the request, whose answer is complete or was cut for a reason that is in the log.
     pub fn end(self) {
         self.requests.lock().remove(&self.number);
@@ -124,7 +132,7 @@
 impl GuardedEvents {
     /// Keeps the request open until the end of the events.
     pub fn new(events: BoxStream<'static, Result<Bytes, Broken>>, guard: OpenRequestGuard) -> Self {
-        Self { events, guard: Some(guard) }
+        Self { events: guard.read_ahead(events), guard: Some(guard) }
     }
 }
 
