Count the large answers of a request's attempts separately

The attempts of one request shared a reservation, so that `max_attempts` whole answers were held for the memory of one, and answers had 48 MB of their own beside `HeldMemory`. Each attempt now reserves in `HeldMemory`, unfinished events in steps of 32 KB instead of 768 KB at once. An attempt that finds no memory takes that of another one of its request whose answer has stood still for a second, so that a silent endpoint holds back no answer. An answer that waits closes callers that read nothing for 5 s.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -77,8 +77,8 @@
 /// on after less, and endpoints cut off an answer that nobody reads after some seconds.
 const SHORT_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How often events that found no memory are tried again.
-const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How often an answer that found no memory tries again or closes a connection in its favour.
+pub(crate) const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -17,6 +17,7 @@
 use balsam_http::ClientOptions;
 use balsam_http::HeldMemory;
 use balsam_http::OpenConnections;
+use balsam_http::Reservation;
 use balsam_http::accept_queue;
 use balsam_types::VmName;
 use http::HeaderValue;
@@ -28,7 +29,6 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -38,6 +38,7 @@
 use crate::attempt::AttemptFailure;
 use crate::caller_conn;
 use crate::caller_conn::Activity;
+use crate::caller_conn::MEMORY_RETRY_INTERVAL;
 use crate::caller_conn::RunningRequest;
 use crate::clock::now_ms;
 use crate::dialect::Dialect;
@@ -107,8 +108,6 @@
     pub open_connections: OpenConnections<Activity>,
     /// The bound on what all connections hold of requests and answers.
     pub held_memory: HeldMemory,
-    /// The bytes of memory that are left for large answers.
-    pub answer_memory: Arc<Semaphore>,
     was_ready: AtomicBool,
 }
 
@@ -144,7 +143,6 @@
             accept_loops: AtomicUsize::new(0),
             open_connections: OpenConnections::default(),
             held_memory: HeldMemory::new(options.max_held_bytes),
-            answer_memory: Arc::new(Semaphore::new(plain::ANSWER_MEMORY_BYTES)),
             was_ready: AtomicBool::new(false),
         };
         Self { shared: Arc::new(shared) }
@@ -428,6 +426,35 @@
 }
 
 impl Shared {
+    /// Reserves memory for an answer, waiting until it is free. Callers that read nothing of theirs give
+    /// way meanwhile.
+    pub async fn reserve_answer(&self, bytes: usize) -> Reservation {
+        let mut reservation = Reservation::default();
+        if self.held_memory.try_reserve_answer(&mut reservation, bytes) {
+            return reservation;
+        }
+        {
+            let mut reserving = pin!(self.held_memory.reserve_answer(&mut reservation, bytes));
+            let mut timer = tokio::time::interval(MEMORY_RETRY_INTERVAL);
+            loop {
+                tokio::select! {
+                    () = reserving.as_mut() => break,
+                    _ = timer.tick() => caller_conn::close_stalled(self),
+                }
+            }
+        }
+        reservation
+    }
+
+    /// Adds memory for an unfinished answer at once; false if none is left.
+    pub fn try_reserve_answer(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        let is_reserved = self.held_memory.try_reserve_answer(reservation, bytes);
+        if !is_reserved {
+            caller_conn::close_stalled(self);
+        }
+        is_reserved
+    }
+
     fn is_closing(&self) -> bool {
         self.closing.borrow().is_some()
     }
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,13 +1,19 @@
 //! Requests whose answer is a single body.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
+use balsam_http::Reservation;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::VmName;
 use bytes::Bytes;
@@ -20,8 +26,7 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::OnceCell;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -33,6 +38,7 @@
 use crate::attempt;
 use crate::attempt::AttemptCounts;
 use crate::attempt::AttemptFailure;
+use crate::caller_conn::MEMORY_RETRY_INTERVAL;
 use crate::front::Shared;
 use crate::hub::Placement;
 use crate::request::Request;
@@ -40,14 +46,13 @@
 /// Maximum size of an answer, which is buffered whole before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Memory for what is held of answers beyond a small size each: bodies above `UNRESERVED_ANSWER_BYTES`
-/// until their callers have taken them, and unfinished events. The smallest VMs have 160 MB.
-pub(crate) const ANSWER_MEMORY_BYTES: usize = 48 * 1024 * 1024;
-
 /// Size up to which an answer is read without a reservation. The callers' connections, some 2,500 on
 /// the smallest VMs, bound the memory of these answers to 40 MB.
 const UNRESERVED_ANSWER_BYTES: usize = 16 * 1024;
 
+/// Time without a byte after which an attempt leaves its memory to another one of its request.
+const STALLED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Serves a request whose answer is a single body.
 ///
 /// A request that may be repeated is tried at another endpoint when its answer is late. The first
@@ -59,7 +64,7 @@
     let mut attempts = Attempts {
         shared,
         request,
-        memory: Arc::default(),
+        large_answers: Arc::default(),
         open: FuturesUnordered::new(),
         tried: Vec::new(),
         counts: AttemptCounts::default(),
@@ -89,8 +94,8 @@
                 attempts.tried.push(placement.target.vm.clone());
                 attempts.running += 1;
                 late_at = attempts.allows_another().then(|| Instant::now() + target);
-                let memory = attempts.memory.clone();
-                let attempt = run_attempt(shared, request, memory, number, placement);
+                let large_answers = attempts.large_answers.clone();
+                let attempt = run_attempt(shared, request, large_answers, number, placement);
                 attempts.open.push(attempt.boxed());
             }
             Step::Refused { number, refusal } => {
@@ -124,14 +129,21 @@
     }
 }
 
-/// The memory that the first large answer to a request reserves. Further attempts share it: if one
-/// waited for the memory of another, a silent endpoint would hold back the answers of all others.
-type AnswerMemory = OnceCell<Option<OwnedSemaphorePermit>>;
+/// The attempts of one request that hold a large answer in part.
+type LargeAnswers = Mutex<BTreeMap<u32, LargeAnswer>>;
+
+/// What one attempt holds of a large answer.
+struct LargeAnswer {
+    memory: Reservation,
+    progress_at: Instant,
+    /// Ends the attempt when its memory is taken for a newer one.
+    end: Arc<Notify>,
+}
 
 /// A body that keeps its reservation until the caller has taken it.
 struct ReservedBytes {
     bytes: BytesMut,
-    _memory: Arc<AnswerMemory>,
+    _memory: Reservation,
 }
 
 impl AsRef<[u8]> for ReservedBytes {
@@ -140,6 +152,82 @@
     }
 }
 
+/// Keeps what an attempt holds among the large answers of its request until dropped.
+struct HeldAnswer<'a> {
+    large_answers: &'a LargeAnswers,
+    number: u32,
+    end: Arc<Notify>,
+}
+
+impl<'a> HeldAnswer<'a> {
+    fn add(large_answers: &'a LargeAnswers, number: u32, memory: Reservation) -> Self {
+        let end = Arc::new(Notify::new());
+        let answer = LargeAnswer { memory, progress_at: Instant::now(), end: end.clone() };
+        lock(large_answers).insert(number, answer);
+        Self { large_answers, number, end }
+    }
+
+    fn record_progress(&self) {
+        if let Some(answer) = lock(self.large_answers).get_mut(&self.number) {
+            answer.progress_at = Instant::now();
+        }
+    }
+
+    fn take_memory(&self) -> Option<Reservation> {
+        lock(self.large_answers).remove(&self.number).map(|answer| answer.memory)
+    }
+}
+
+impl Drop for HeldAnswer<'_> {
+    fn drop(&mut self) {
+        lock(self.large_answers).remove(&self.number);
+    }
+}
+
+fn lock(large_answers: &LargeAnswers) -> MutexGuard<'_, BTreeMap<u32, LargeAnswer>> {
+    large_answers.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits until the memory of an answer was taken for another attempt.
+async fn ended(answer: Option<&HeldAnswer<'_>>) {
+    match answer {
+        Some(answer) => answer.end.notified().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Reserves memory for a large answer. An attempt of the same request whose answer stands still leaves
+/// its memory to it: if one waited for the other, silent endpoints would hold back all answers.
+async fn reserve_memory(
+    shared: &Shared,
+    large_answers: &LargeAnswers,
+    bytes: usize,
+) -> Reservation {
+    let mut reserving = pin!(shared.reserve_answer(bytes));
+    let mut timer = tokio::time::interval(MEMORY_RETRY_INTERVAL);
+    loop {
+        tokio::select! {
+            biased;
+            memory = reserving.as_mut() => return memory,
+            _ = timer.tick() => {}
+        }
+        let memory = take_stalled(&mut lock(large_answers));
+        if let Some(memory) = memory.filter(|memory| memory.bytes() >= bytes) {
+            return memory;
+        }
+    }
+}
+
+/// Ends an attempt whose answer stands still; returns its memory.
+fn take_stalled(large_answers: &mut BTreeMap<u32, LargeAnswer>) -> Option<Reservation> {
+    let is_stalled = |answer: &LargeAnswer| answer.progress_at.elapsed() >= STALLED_TIMEOUT;
+    let (number, _) = large_answers.iter().find(|(_, answer)| is_stalled(answer))?;
+    let number = *number;
+    let stalled = large_answers.remove(&number)?;
+    stalled.end.notify_one();
+    Some(stalled.memory)
+}
+
 /// What one attempt has reached.
 enum Step {
     Placed { number: u32, placement: Placement },
@@ -152,7 +240,7 @@
 struct Attempts<'a> {
     shared: &'a Shared,
     request: &'a Request,
-    memory: Arc<AnswerMemory>,
+    large_answers: Arc<LargeAnswers>,
     open: FuturesUnordered<BoxFuture<'a, Step>>,
     tried: Vec<VmName>,
     /// The attempts that have ended.
@@ -230,14 +318,14 @@
 async fn run_attempt(
     shared: &Shared,
     request: &Request,
-    memory: Arc<AnswerMemory>,
+    large_answers: Arc<LargeAnswers>,
     number: u32,
     mut placement: Placement,
 ) -> Step {
     let left = Duration::from_millis(request.left_ms());
     let exchange = async {
         let sent = attempt::send(shared, request, &placement.target, None).await?;
-        read_answer(shared, memory, sent).await
+        read_answer(shared, &large_answers, number, sent).await
     };
     let result = match timeout(left, exchange).await {
         Ok(result) => result,
@@ -270,13 +358,23 @@
 /// none: its endpoint may have run the request, so that the answer could not be had again.
 async fn read_answer(
     shared: &Shared,
-    memory: Arc<AnswerMemory>,
+    large_answers: &LargeAnswers,
+    number: u32,
     (mut conn, response): (Conn, Response<Incoming>),
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let (mut head, mut body) = response.into_parts();
     let stated_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let mut answer_bytes = BytesMut::new();
-    while let Some(frame) = conn.driver.drive(body.frame()).await {
+    let mut large_answer = None;
+    loop {
+        let frame = tokio::select! {
+            frame = conn.driver.drive(body.frame()) => frame,
+            () = ended(large_answer.as_ref()) => {
+                let cause = "its memory was needed for another attempt of the request";
+                return Err(AttemptFailure::Broken(cause.to_owned()));
+            }
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|error| attempt::body_read_failure(&error))?;
         let Ok(data) = frame.into_data() else { continue };
         let read_bytes = answer_bytes.len() + data.len();
@@ -285,10 +383,13 @@
         }
         if read_bytes > UNRESERVED_ANSWER_BYTES {
             let bytes = stated_bytes.unwrap_or(MAX_ANSWER_BYTES);
-            // The semaphore is never closed.
-            let reserve =
-                || shared.answer_memory.clone().acquire_many_owned(bytes as u32).map(Result::ok);
-            memory.get_or_init(reserve).await;
+            match &large_answer {
+                Some(large_answer) => large_answer.record_progress(),
+                None => {
+                    let memory = reserve_memory(shared, large_answers, bytes).await;
+                    large_answer = Some(HeldAnswer::add(large_answers, number, memory));
+                }
+            }
             // Growing step by step would leave buffers of all sizes behind.
             answer_bytes.reserve(bytes.max(read_bytes) - answer_bytes.len());
         }
@@ -297,9 +398,9 @@
     let keep_alive = attempt::keep_alive_duration(&head.headers, shared.options.endpoint_idle());
     shared.client.return_connection(conn, keep_alive);
     remove_hop_by_hop(&mut head.headers);
-    let body = match memory.initialized() {
-        true => Bytes::from_owner(ReservedBytes { bytes: answer_bytes, _memory: memory }),
-        false => answer_bytes.freeze(),
+    let body = match large_answer.and_then(|large_answer| large_answer.take_memory()) {
+        Some(memory) => Bytes::from_owner(ReservedBytes { bytes: answer_bytes, _memory: memory }),
+        None => answer_bytes.freeze(),
     };
     Ok(EndpointAnswer { status: head.status, headers: head.headers, body })
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -10,6 +10,7 @@
 use balsam_fleet::Refusal;
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
+use balsam_http::Reservation;
 use balsam_http::Splitter;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::VmName;
@@ -23,7 +24,6 @@
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use crate::answer::EndpointAnswer;
@@ -41,9 +41,11 @@
 /// without a reservation. The callers' connections, some 2,500 on the smallest VMs, bound their sum.
 const UNRESERVED_BYTES: usize = 8 * 1024;
 
-/// Memory reserved for more of them: an event and as many comments, with the spare capacity of a buffer
-/// that grows.
-const RESERVED_BYTES: u32 = 3 * MAX_EVENT_BYTES as u32;
+/// Steps in which memory is reserved for more of them.
+const RESERVED_STEP_BYTES: usize = 32 * 1024;
+
+/// Reserved bytes per byte that is held, because a buffer that grows has spare capacity.
+const RESERVED_PER_HELD_BYTE: usize = 2;
 
 /// What an attempt has reached.
 pub(crate) enum Progress {
@@ -102,7 +104,7 @@
     /// Bytes since the last event with data.
     pub bytes_since_data: usize,
     /// The memory that is reserved for the bytes held by this attempt.
-    memory: Option<OwnedSemaphorePermit>,
+    memory: Reservation,
     /// A fault after the events that were taken last.
     pub fault: Option<AttemptFailure>,
     /// When the endpoint was last heard of by this attempt.
@@ -134,7 +136,7 @@
             splitter: Splitter::default(),
             held_back: BytesMut::new(),
             bytes_since_data: 0,
-            memory: None,
+            memory: Reservation::default(),
             fault: None,
             progress_at: Instant::now(),
             is_superseded: false,
@@ -162,13 +164,10 @@
     pub fn reserve_memory(&mut self) -> Result<(), AttemptFailure> {
         let held_bytes = self.splitter.pending_bytes() + self.held_back.len();
         if held_bytes <= UNRESERVED_BYTES {
-            self.memory = None;
+            self.memory = Reservation::default();
             return Ok(());
         }
-        if self.memory.is_none() {
-            self.memory = Some(reserve(&self.shared)?);
-        }
-        Ok(())
+        reserve(&self.shared, &mut self.memory, held_bytes)
     }
 
     /// Records that an event of the answer arrived.
@@ -257,11 +256,11 @@
                     match ready!(poll_chunk(conn, body, cx)) {
                         Ok(Some(data)) if bytes.len() + data.len() <= MAX_EVENT_BYTES => {
                             bytes.extend_from_slice(&data);
-                            if bytes.len() > UNRESERVED_BYTES && self.memory.is_none() {
-                                match reserve(&self.shared) {
-                                    Ok(memory) => self.memory = Some(memory),
-                                    Err(failure) => return Poll::Ready(Progress::Failed(failure)),
-                                }
+                            if bytes.len() > UNRESERVED_BYTES
+                                && let Err(failure) =
+                                    reserve(&self.shared, &mut self.memory, bytes.len())
+                            {
+                                return Poll::Ready(Progress::Failed(failure));
                             }
                         }
                         Ok(Some(_)) => return Poll::Ready(faulty("the answer exceeds the limit")),
@@ -303,9 +302,18 @@
     }
 }
 
-fn reserve(shared: &Shared) -> Result<OwnedSemaphorePermit, AttemptFailure> {
-    let reserved = shared.answer_memory.clone().try_acquire_many_owned(RESERVED_BYTES);
-    reserved.map_err(|_| AttemptFailure::Broken("no memory is left for its answer".to_owned()))
+/// Reserves as much as the held bytes need beyond what is reserved already.
+fn reserve(
+    shared: &Shared,
+    memory: &mut Reservation,
+    held_bytes: usize,
+) -> Result<(), AttemptFailure> {
+    let needed_bytes = RESERVED_PER_HELD_BYTE * held_bytes.next_multiple_of(RESERVED_STEP_BYTES);
+    let missing_bytes = needed_bytes.saturating_sub(memory.bytes());
+    match missing_bytes == 0 || shared.try_reserve_answer(memory, missing_bytes) {
+        true => Ok(()),
+        false => Err(AttemptFailure::Broken("no memory is left for its answer".to_owned())),
+    }
 }
 
 fn faulty(cause: &str) -> Progress {
