Bound what the kernel holds of answers that are not read, and end unread ones in crates/serve

The kernel took some 3.3 MB of an answer for each caller that reads nothing (received after the close in the test of slow_readers.rs). The bytes under way are not limited.

crates/serve ended a connection whose caller reads nothing only if it had no request. It now ends after 30 s without a byte taken, which cancels the answer at its endpoint; counted as balsam_serve_unread_answers.

A stream that holds no reserved memory no longer gives way to others.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod open_connections;
 pub mod reusable_timeout;
 pub mod sse;
+mod unsent;
 
 pub use accept_queue::AcceptQueue;
 pub use accept_queue::accept_queue;
@@ -25,3 +26,4 @@
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
 pub use sse::Splitter;
+pub use unsent::limit_unsent;
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -21,6 +21,7 @@
 
 use balsam_fleet::configuration::CallerLimits;
 use balsam_http::Linger;
+use balsam_http::limit_unsent;
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::stream::BoxStream;
@@ -41,6 +42,7 @@
 use crate::front::Shared;
 use crate::front::handle_request;
 use crate::front::refuse_request;
+use crate::read_ahead::BLOCK_BYTES;
 use crate::read_ahead::ReadAhead;
 use crate::read_ahead::ReadAheadEvents;
 use crate::read_ahead::Unsent;
@@ -105,6 +107,8 @@
     unsent_bytes: usize,
     /// The answer that is being written, if it is a stream.
     read_ahead: Weak<ReadAhead>,
+    /// What was held of it when the caller was last found not to read.
+    held_bytes: usize,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
     /// Whether the connection is closed because it is idle, rather than after an answer.
@@ -155,6 +159,7 @@
             blocked_since: None,
             unsent_bytes: 0,
             read_ahead: Weak::new(),
+            held_bytes: 0,
             limits,
             is_closed_idle: false,
             is_closing: false,
@@ -201,8 +206,11 @@
     /// Returns since when the caller has read nothing, if that is long enough to close its connection
     /// in favour of others and sets memory free.
     fn stalled_since(&self) -> Option<Instant> {
-        let since = self.state().blocked_since;
-        since.filter(|since| since.elapsed() >= SHORT_WRITE_TIMEOUT)
+        let state = self.state();
+        let since = state.blocked_since?;
+        // A stream up to this size has no memory reserved.
+        let holds_memory = state.read_ahead.strong_count() == 0 || state.held_bytes > BLOCK_BYTES;
+        (holds_memory && since.elapsed() >= SHORT_WRITE_TIMEOUT).then_some(since)
     }
 
     /// Records bytes that hyper gets of an answer; returns all that it has not written.
@@ -218,19 +226,23 @@
             let state = self.state();
             (state.read_ahead.upgrade(), state.blocked_since.is_some())
         };
-        match read_ahead {
-            Some(read_ahead) if is_blocked && read_ahead.fill(cx) => ReadOn::Read,
-            Some(_) if is_blocked => ReadOn::NoMemory,
-            Some(read_ahead) if read_ahead.take_deferred() => ReadOn::PollAgain,
-            _ => ReadOn::Read,
+        let Some(read_ahead) = read_ahead else { return ReadOn::Read };
+        if !is_blocked {
+            return match read_ahead.take_deferred() {
+                true => ReadOn::PollAgain,
+                false => ReadOn::Read,
+            };
         }
+        let is_read = read_ahead.fill(cx);
+        self.state().held_bytes = read_ahead.held_bytes();
+        if is_read { ReadOn::Read } else { ReadOn::NoMemory }
     }
 
     /// Counts and logs the end of a connection whose caller reads nothing.
     fn log_unread(&self, shared: &Shared, cause: &'static str) {
-        let (read_ahead, since) = {
+        let (held_bytes, since) = {
             let state = self.state();
-            (state.read_ahead.upgrade(), state.blocked_since)
+            (state.held_bytes, state.blocked_since)
         };
         let Some(since) = since else { return };
         let hub = &shared.hub;
@@ -238,7 +250,7 @@
         if let Some(dropped) = hub.log_limiter.take("answer_unread") {
             info!(hub.log, "a caller reads nothing of its answer"; "kind" => "answer_unread",
                 "cause" => cause, "unread_ms" => since.elapsed().as_millis() as u64,
-                "held_bytes" => read_ahead.map_or(0, |read_ahead| read_ahead.held_bytes()),
+                "held_bytes" => held_bytes,
                 "free_bytes" => shared.held_memory.free_bytes(), "dropped_lines" => dropped);
         }
     }
@@ -312,7 +324,11 @@
         events: BoxStream<'static, Result<Bytes, Broken>>,
     ) -> BoxStream<'static, Result<Bytes, Broken>> {
         let read_ahead = Arc::new(ReadAhead::new(events, self.shared.held_memory.clone()));
-        self.activity.state().read_ahead = Arc::downgrade(&read_ahead);
+        {
+            let mut state = self.activity.state();
+            state.read_ahead = Arc::downgrade(&read_ahead);
+            state.held_bytes = 0;
+        }
         let activity = self.activity.clone();
         let connection = move |bytes| activity.add_unsent(bytes);
         Box::pin(ReadAheadEvents { read_ahead, connection })
@@ -422,6 +438,7 @@
     is_over_limit: bool,
 ) {
     let _ = stream.set_nodelay(true);
+    let _ = limit_unsent(&stream);
     let limits = shared.limits();
     let service = {
         let (shared, activity) = (shared.clone(), activity.clone());
--- a/crates/relay/src/read_ahead.rs
+++ b/crates/relay/src/read_ahead.rs
@@ -26,7 +26,7 @@
 
 /// Size of the blocks in which events are held. The first of an answer is not reserved; the callers'
 /// connections, some 2,500 on the smallest VMs, bound the sum of these to 20 MB.
-const BLOCK_BYTES: usize = 8 * 1024;
+pub(crate) const BLOCK_BYTES: usize = 8 * 1024;
 
 /// Bytes that hyper may hold of an answer before it writes them; it would buffer up to its limit for
 /// heads, 64 KB, on each connection.
--- a/crates/serve/src/conn.rs
+++ b/crates/serve/src/conn.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use balsam_http::accept_queue;
+use balsam_http::limit_unsent;
 use hyper::service::Service;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -191,6 +192,7 @@
     activity: Arc<Activity>,
 ) {
     let _ = stream.set_nodelay(true);
+    let _ = limit_unsent(&stream);
     let responder = Responder::new(tree, Some(peer));
     let service = {
         let activity = activity.clone();
@@ -203,7 +205,7 @@
             }
         })
     };
-    let socket = CallerSocket::new(stream, shared.clone());
+    let socket = CallerSocket::new(stream, shared.clone(), activity.clone());
     let builder = builder(&shared);
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
@@ -215,7 +217,9 @@
     let mut is_closing = false;
     let header_timeout = Duration::from_millis(shared.options.header_read_timeout_ms);
     let idle_timeout = Duration::from_millis(shared.options.idle_connection_ms);
-    let mut tick = tokio::time::interval((header_timeout / 2).max(Duration::from_millis(10)));
+    let write_timeout = Duration::from_millis(shared.options.write_timeout_ms);
+    let tick_time = header_timeout.min(write_timeout) / 2;
+    let mut tick = tokio::time::interval(tick_time.max(Duration::from_millis(10)));
     loop {
         let ends_unused = tokio::select! {
             biased;
@@ -224,6 +228,10 @@
             _ = activity.close.notified(), if !is_closing => true,
             () = close_time.as_mut(), if !is_closing => false,
             _ = tick.tick() => {
+                if activity.blocked_for() > write_timeout {
+                    shared.metrics.unread_answers.add(1, &[]);
+                    return;
+                }
                 // hyper starts its own timers only after it has detected the protocol.
                 let had_request = activity.had_request.load(Ordering::Relaxed);
                 let is_head_late = !had_request && activity.started.elapsed() > header_timeout;
--- a/crates/serve/src/linger.rs
+++ b/crates/serve/src/linger.rs
@@ -15,6 +15,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::open_connections::Activity;
 use crate::shared::Shared;
 
 /// Maximum number of closed sockets that are still read. They have no slot of a connection, so that
@@ -31,13 +32,14 @@
 pub(crate) struct CallerSocket {
     stream: Option<TcpStream>,
     shared: Arc<Shared>,
+    activity: Arc<Activity>,
     /// Whether the caller has closed the connection or it has failed.
     has_ended: bool,
 }
 
 impl CallerSocket {
-    pub fn new(stream: TcpStream, shared: Arc<Shared>) -> Self {
-        Self { stream: Some(stream), shared, has_ended: false }
+    pub fn new(stream: TcpStream, shared: Arc<Shared>, activity: Arc<Activity>) -> Self {
+        Self { stream: Some(stream), shared, activity, has_ended: false }
     }
 
     fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
@@ -89,7 +91,9 @@
         cx: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write(cx, buffer)
+        let written = self.stream()?.poll_write(cx, buffer);
+        self.activity.wrote(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -97,7 +101,9 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.stream()?.poll_write_vectored(cx, buffers)
+        let written = self.stream()?.poll_write_vectored(cx, buffers);
+        self.activity.wrote(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -21,6 +21,7 @@
     pub cancelled: Counter<u64>,
     connections_refused: Counter<u64>,
     pub unrecorded_answers: Counter<u64>,
+    pub unread_answers: Counter<u64>,
     pub first_byte_ms: Histogram<f64>,
     pub event_gap_ms: Histogram<f64>,
 }
@@ -41,6 +42,7 @@
             cancelled: counter("balsam_serve_cancelled"),
             connections_refused: counter("balsam_serve_connections_refused"),
             unrecorded_answers: counter("balsam_serve_unrecorded_answers"),
+            unread_answers: counter("balsam_serve_unread_answers"),
             first_byte_ms: millis("balsam_serve_first_byte"),
             event_gap_ms: millis("balsam_serve_event_gap"),
         }
--- a/crates/serve/src/open_connections.rs
+++ b/crates/serve/src/open_connections.rs
@@ -1,6 +1,8 @@
 //! Callers' open connections, and which of them are idle.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -30,6 +32,8 @@
     pub running_requests: AtomicUsize,
     idle_since_ms: AtomicUsize,
     pub started: Instant,
+    /// Since when bytes of an answer wait for the caller to read.
+    blocked_since: Mutex<Option<Instant>>,
 }
 
 /// Counts a request of a connection as running until its response head is ready.
@@ -63,9 +67,22 @@
             running_requests: AtomicUsize::new(0),
             idle_since_ms: AtomicUsize::new(0),
             started: Instant::now(),
+            blocked_since: Mutex::default(),
         }
     }
 
+    /// Records whether a write has to wait until the caller reads.
+    pub fn wrote(&self, is_blocked: bool) {
+        let mut since = self.blocked_since.lock().unwrap_or_else(PoisonError::into_inner);
+        *since = is_blocked.then(|| since.unwrap_or_else(Instant::now));
+    }
+
+    /// Returns the time for which the caller has read nothing of what waits for it.
+    pub fn blocked_for(&self) -> Duration {
+        let since = *self.blocked_since.lock().unwrap_or_else(PoisonError::into_inner);
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Returns the time since the last request ended; zero while one is running.
     pub fn idle_for(&self) -> Duration {
         if self.running_requests.load(Ordering::Relaxed) > 0 {
--- a/crates/serve/src/options.rs
+++ b/crates/serve/src/options.rs
@@ -29,6 +29,9 @@
     pub header_read_timeout_ms: u64,
     /// How long a caller may take to send a complete request body.
     pub body_read_timeout_ms: u64,
+    /// How long a caller may read nothing of an answer that waits for it. Its answer holds memory
+    /// and a place at an endpoint meanwhile.
+    pub write_timeout_ms: u64,
     /// How long a connection without a request stays open.
     pub idle_connection_ms: u64,
     /// Maximum deadline that a caller may request; longer ones are capped.
@@ -71,6 +74,7 @@
             max_body_bytes_total: 64 * 1024 * 1024,
             header_read_timeout_ms: 5_000,
             body_read_timeout_ms: 10_000,
+            write_timeout_ms: 30_000,
             idle_connection_ms: 60_000,
             max_deadline_ms: 3_600_000,
             connect_timeout_ms: 500,
@@ -119,6 +123,7 @@
             ("max_body_bytes", self.max_body_bytes as u64),
             ("header_read_timeout_ms", self.header_read_timeout_ms),
             ("body_read_timeout_ms", self.body_read_timeout_ms),
+            ("write_timeout_ms", self.write_timeout_ms),
             ("idle_connection_ms", self.idle_connection_ms),
             ("max_deadline_ms", self.max_deadline_ms),
             ("connect_timeout_ms", self.connect_timeout_ms),
--- a/crates/serve/tests/serve/main.rs
+++ b/crates/serve/tests/serve/main.rs
@@ -14,5 +14,6 @@
 mod shutdown;
 mod shutdown_limit;
 mod silent_endpoints;
+mod slow_readers;
 mod streams;
 mod support;
