--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -382,6 +382,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once it has written everything.
+        self.activity.state().unsent_bytes = 0;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
