--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -87,6 +87,9 @@
         pace: model.pace,
         distance_ms: 0.0,
         failure_share: 0.0,
+        unwritten_tokens: 0,
+        slowness: 1.0,
+        plain_requests: 0.0,
     };
     placement::first_event_ms(engine, &busy, typical_tokens(fleet, kind, arrival))
 }
--- a/crates/fleet/tests/fleet/uneven.rs
+++ b/crates/fleet/tests/fleet/uneven.rs
@@ -87,7 +87,7 @@
     let mut fleet = fleet((1..=40).map(far).chain([plain("near", 50)]).collect());
     // The near endpoint is loaded, so far ones are preferred.
     for attempt_id in 501..=505 {
-        fleet.loads.start(1_000, attempt_id, &vm("near"), 0);
+        fleet.loads.start(1_000, attempt_id, &vm("near"), 0, None);
     }
     let (mut tried, mut open) = (0, Vec::new());
     for attempt_id in 1..=120 {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod request_bodies;
 pub mod reusable_timeout;
 pub mod sse;
+mod unsent;
 
 pub use accept_queue::AcceptQueue;
 pub use accept_queue::accept_queue;
@@ -29,3 +30,4 @@
 pub use reusable_timeout::ReusableTimeout;
 pub use sse::Event;
 pub use sse::Splitter;
+pub use unsent::limit_unsent;
--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -14,6 +14,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -24,10 +25,14 @@
 use balsam_http::Linger;
 use balsam_http::Reservation;
 use balsam_http::STILL_AFTER;
+use balsam_http::limit_unsent;
+use bytes::Bytes;
 use futures::FutureExt;
+use futures::stream::BoxStream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use slog::info;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -37,9 +42,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::answer::Broken;
 use crate::front::Shared;
 use crate::front::handle_request;
 use crate::front::refuse_request;
+use crate::read_ahead::BLOCK_BYTES;
+use crate::read_ahead::ReadAhead;
+use crate::read_ahead::ReadAheadEvents;
+use crate::read_ahead::Unsent;
 
 /// Buffer for the head of a request. Limits of later versions hold for open connections up to this
 /// size.
@@ -76,6 +86,13 @@
 /// later, and that of a caller that is alive but does not read never.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Like `WRITE_TIMEOUT`, when other answers find no memory. Callers whose link is cut for a moment read
+/// on after less, and endpoints cut off an answer that nobody reads after some seconds.
+const SHORT_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How often an answer that found no memory tries again or closes a connection in its favour.
+pub(crate) const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time in which a connection that is being closed must have sent what is left of its answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -85,6 +102,8 @@
     peer: Option<SocketAddr>,
     /// Asks for the end of the connection unless it is in use meanwhile.
     close_unused: Notify,
+    /// Asks for the end of the connection, whose caller reads nothing, as memory is short.
+    give_way: Notify,
 }
 
 struct ActivityState {
@@ -100,6 +119,12 @@
     is_reading_body: bool,
     /// Since when bytes of an answer wait for the caller to read.
     blocked_since: Option<Instant>,
+    /// Bytes of an answer that hyper has and has not written.
+    unsent_bytes: usize,
+    /// The answer that is being written, if it is a stream.
+    read_ahead: Weak<ReadAhead>,
+    /// What was held of it when the caller was last found not to read.
+    held_bytes: usize,
     /// The highest limits that were in force since the connection became idle.
     limits: CallerLimits,
     /// Whether the connection is closed because it is idle, rather than after an answer.
@@ -126,8 +151,8 @@
         let idle_timeout = Duration::from_millis(self.limits.idle_timeout_ms);
         let head_timeout = Duration::from_millis(self.limits.header_timeout_ms);
         match (self.blocked_since, self.head_since) {
-            _ if self.running_requests > 0 => None,
             (Some(since), _) => Some(since + WRITE_TIMEOUT),
+            _ if self.running_requests > 0 => None,
             (None, Some(since)) => Some(since + head_timeout),
             (None, None) if self.had_request || self.is_closing => {
                 Some(self.idle_since + idle_timeout)
@@ -156,11 +181,15 @@
             received_at: idle_since,
             is_reading_body: false,
             blocked_since: None,
+            unsent_bytes: 0,
+            read_ahead: Weak::new(),
+            held_bytes: 0,
             limits,
             is_closed_idle: false,
             is_closing: false,
         };
-        Self { state: Mutex::new(state), peer, close_unused: Notify::new() }
+        let (close_unused, give_way) = (Notify::new(), Notify::new());
+        Self { state: Mutex::new(state), peer, close_unused, give_way }
     }
 
     fn state(&self) -> MutexGuard<'_, ActivityState> {
@@ -200,6 +229,9 @@
     /// Records whether a write has to wait until the caller reads.
     fn wrote(&self, result: &Poll<io::Result<usize>>) {
         let mut state = self.state();
+        if let Poll::Ready(Ok(bytes)) = result {
+            state.unsent_bytes = state.unsent_bytes.saturating_sub(*bytes);
+        }
         if result.is_pending() {
             state.blocked_since.get_or_insert_with(Instant::now);
         } else if state.blocked_since.take().is_some() {
@@ -207,6 +239,58 @@
         }
     }
 
+    /// Returns since when the caller has read nothing, if that is long enough to close its connection
+    /// in favour of others and sets memory free.
+    fn stalled_since(&self) -> Option<Instant> {
+        let state = self.state();
+        let since = state.blocked_since?;
+        // A stream up to this size has no memory reserved.
+        let holds_memory = state.read_ahead.strong_count() == 0 || state.held_bytes > BLOCK_BYTES;
+        (holds_memory && since.elapsed() >= SHORT_WRITE_TIMEOUT).then_some(since)
+    }
+
+    /// Records bytes that hyper gets of an answer; returns all that it has not written.
+    fn add_unsent(&self, bytes: usize) -> Unsent {
+        let mut state = self.state();
+        state.unsent_bytes += bytes;
+        Unsent { is_blocked: state.blocked_since.is_some(), bytes: state.unsent_bytes }
+    }
+
+    /// Reads on the answer of a caller that does not read.
+    fn read_on(&self, cx: &mut Context<'_>) -> ReadOn {
+        let (read_ahead, is_blocked) = {
+            let state = self.state();
+            (state.read_ahead.upgrade(), state.blocked_since.is_some())
+        };
+        let Some(read_ahead) = read_ahead else { return ReadOn::Read };
+        if !is_blocked {
+            return match read_ahead.take_deferred() {
+                true => ReadOn::PollAgain,
+                false => ReadOn::Read,
+            };
+        }
+        let is_read = read_ahead.fill(cx);
+        self.state().held_bytes = read_ahead.held_bytes();
+        if is_read { ReadOn::Read } else { ReadOn::NoMemory }
+    }
+
+    /// Counts and logs the end of a connection whose caller reads nothing.
+    fn log_unread(&self, shared: &Shared, cause: &'static str) {
+        let (held_bytes, since) = {
+            let state = self.state();
+            (state.held_bytes, state.blocked_since)
+        };
+        let Some(since) = since else { return };
+        let hub = &shared.hub;
+        hub.metrics.unread_answer(cause);
+        if let Some(dropped) = hub.log_limiter.take("answer_unread") {
+            info!(hub.log, "a caller reads nothing of its answer"; "kind" => "answer_unread",
+                "cause" => cause, "unread_ms" => since.elapsed().as_millis() as u64,
+                "held_bytes" => held_bytes,
+                "free_bytes" => shared.held_memory.free_bytes(), "dropped_lines" => dropped);
+        }
+    }
+
     /// Closes the connection once nothing arrives any more. A head that is arriving, and a request
     /// that a new connection is about to bring, still get an answer.
     fn close(&self) {
@@ -234,6 +318,25 @@
     }
 }
 
+/// What became of the events that a caller does not read.
+enum ReadOn {
+    /// There are none, or they were read.
+    Read,
+    /// There is no memory for them.
+    NoMemory,
+    /// The caller reads, and the connection has to take them.
+    PollAgain,
+}
+
+/// Closes the connection whose caller has read nothing for longest, so that other answers find memory.
+/// What it was sent does not look complete.
+pub(crate) fn close_stalled(shared: &Shared) {
+    let stalled = shared.open_connections.take_lowest(Activity::stalled_since);
+    if let Some(activity) = stalled {
+        activity.give_way.notify_one();
+    }
+}
+
 /// Marks a connection as in use by a request until dropped.
 pub(crate) struct RunningRequest {
     shared: Arc<Shared>,
@@ -261,6 +364,22 @@
     pub fn peer(&self) -> Option<SocketAddr> {
         self.activity.peer
     }
+
+    /// Lets the connection read the events of an answer on while its caller does not read.
+    pub fn read_ahead(
+        &self,
+        events: BoxStream<'static, Result<Bytes, Broken>>,
+    ) -> BoxStream<'static, Result<Bytes, Broken>> {
+        let read_ahead = Arc::new(ReadAhead::new(events, self.shared.held_memory.clone()));
+        {
+            let mut state = self.activity.state();
+            state.read_ahead = Arc::downgrade(&read_ahead);
+            state.held_bytes = 0;
+        }
+        let activity = self.activity.clone();
+        let connection = move |bytes| activity.add_unsent(bytes);
+        Box::pin(ReadAheadEvents { read_ahead, connection })
+    }
 }
 
 impl Drop for RunningRequest {
@@ -345,6 +464,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once it has written everything.
+        self.activity.state().unsent_bytes = 0;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -401,6 +522,7 @@
     is_over_limit: bool,
 ) {
     let _ = stream.set_nodelay(true);
+    let _ = limit_unsent(&stream);
     let limits = shared.limits();
     let service = {
         let (shared, activity) = (shared.clone(), activity.clone());
@@ -432,6 +554,7 @@
     let mut close = pin!(shared.close_started());
     let mut timer = pin!(sleep(RUNNING_CHECK_INTERVAL));
     let mut close_unused = pin!(activity.close_unused.notified().fuse());
+    let mut give_way = pin!(activity.give_way.notified());
     let mut is_closing = false;
     let mut is_ending = false;
     poll_fn(|cx| {
@@ -441,6 +564,20 @@
             if connection.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(());
             }
+            match activity.read_on(cx) {
+                ReadOn::Read => {}
+                ReadOn::PollAgain => continue,
+                ReadOn::NoMemory => {
+                    close_stalled(shared);
+                    let retry_at = Instant::now() + MEMORY_RETRY_INTERVAL;
+                    let check_at = timer.deadline().min(retry_at);
+                    timer.as_mut().reset(check_at);
+                }
+            }
+            if give_way.as_mut().poll(cx).is_ready() {
+                activity.log_unread(shared, "memory");
+                return Poll::Ready(());
+            }
             if !is_closing && close.as_mut().poll(cx).is_ready() {
                 is_closing = true;
                 activity.close();
@@ -471,7 +608,10 @@
                     connection.as_mut().graceful_shutdown();
                     timer.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                 }
-                Expiry::CloseIdle | Expiry::Drop => return Poll::Ready(()),
+                Expiry::CloseIdle | Expiry::Drop => {
+                    activity.log_unread(shared, "time");
+                    return Poll::Ready(());
+                }
             }
         }
     })
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -16,6 +16,7 @@
     attempt_failures: Counter<u64>,
     connections_over_limit: Counter<u64>,
     bodies_refused: Counter<u64>,
+    unread_answers: Counter<u64>,
     decisions: Counter<u64>,
     first_event_ms: Histogram<f64>,
     wait_ms: Histogram<f64>,
@@ -47,6 +48,7 @@
                 .u64_counter("balsamturn.relay.connections_over_limit")
                 .build(),
             bodies_refused: meter.u64_counter("balsamturn.relay.bodies_refused").build(),
+            unread_answers: meter.u64_counter("balsamturn.relay.unread_answers").build(),
             decisions: meter.u64_counter("balsamturn.fleet.decisions").build(),
             first_event_ms: histogram("balsamturn.relay.first_event_ms"),
             wait_ms: histogram("balsamturn.relay.wait_ms"),
@@ -88,6 +90,10 @@
         self.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    pub(crate) fn unread_answer(&self, cause: &'static str) {
+        self.unread_answers.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     pub(crate) fn decision(&self, kind: &'static str, decision: &Decision) {
         self.decisions.add(1, &[KeyValue::new("kind", kind)]);
         if let Decision::Use { model, idle_endpoint_ms, .. } = decision {
