Test that wrong hints and lost peers change no choice

With learned answers, hints that are eight times too high give the same places as right ones, and a node whose peers fell silent chooses as one without peers.

--- a/crates/fleet/tests/fleet/cost.rs
+++ b/crates/fleet/tests/fleet/cost.rs
@@ -305,3 +305,45 @@
     let next = dispatched(&reduce(&mut fleet, 1_000, Event::Arrive(request(3, "fast"))), 3);
     assert_eq!(next, fast, "two fast requests are less than a slow one");
 }
+
+/// Callers whose hints are eight times too high get the same places, once their answers are known, as
+/// those whose hints are right; and a node that lost its peers chooses like one that never had any.
+#[rstest]
+#[case::wrong_hints(480, 1_010)]
+#[case::lost_peers(60, 4_000)]
+fn wrong_hints_and_lost_peers_change_no_choice(#[case] hint: u32, #[case] now_ms: u64) {
+    let heads = [("one", 1), ("two", 2), ("three", 3)];
+    let mut fleets = [fleet(BY_COST, &heads), fleet(BY_COST, &heads)];
+    let hints = [60, hint];
+    for (fleet, hint) in fleets.iter_mut().zip(hints) {
+        learn(&mut fleet.costs, 500, Some(hint), 60);
+    }
+    let load = |name, in_flight, tokens| PeerLoad {
+        vm: vm(name),
+        in_flight,
+        unread_tokens: 0,
+        unwritten_tokens: Some(tokens),
+    };
+    let loads = vec![load("one", 9, 90), load("two", 9, 1_800), load("three", 12, 120)];
+    let has_peers = [now_ms < 2_500, true];
+    for (fleet, has_peers) in fleets.iter_mut().zip(has_peers) {
+        let loads = if has_peers { loads.clone() } else { Vec::new() };
+        reduce(fleet, 1_000, Event::Peer(PeerReport { loads, ..report("other") }));
+    }
+    for attempt_id in 1..=12 {
+        let chosen: Vec<_> = fleets
+            .iter_mut()
+            .zip(hints)
+            .map(|(fleet, hint)| {
+                let request = hinted(Some(hint));
+                let deadline_at_ms = now_ms + 8_000;
+                let request = Arrival { attempt_id, deadline_at_ms, ..request };
+                let vm = dispatched(&reduce(fleet, now_ms, Event::Arrive(request)), attempt_id);
+                reduce(fleet, now_ms, Event::Started(attempt_id));
+                vm
+            })
+            .collect();
+        assert!(chosen[0].is_some());
+        assert_eq!(chosen[0], chosen[1], "request {attempt_id}");
+    }
+}
