--- a/crates/bench/benches/table.rs
+++ b/crates/bench/benches/table.rs
@@ -16,7 +16,7 @@
     figures: &'static str,
 }
 
-const BENCHES: [Bench; 7] = [
+const BENCHES: [Bench; 8] = [
     Bench {
         package: "balsam-plan",
         name: "plan",
@@ -37,6 +37,11 @@
         name: "route",
         figures: "endpoint choice, cold starts, fairness, subsets, queueing",
     },
+    Bench {
+        package: "balsam-fleet",
+        name: "placement",
+        figures: "time to first event and of answers by choice of endpoint, time of a choice",
+    },
     Bench {
         package: "balsam-peer",
         name: "dissemination",
