--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -174,6 +174,11 @@
         state.is_idle().then_some(state.idle_since)
     }
 
+    /// Returns the address of the caller.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// Returns since when the connection has been idle, or else since when its request has stood
     /// still, which sorts after all idle ones.
     pub fn unused_since(&self) -> Option<(bool, Instant)> {
@@ -259,7 +264,7 @@
 
     /// Returns the address of the caller.
     pub fn peer(&self) -> Option<SocketAddr> {
-        self.activity.peer
+        self.activity.peer()
     }
 }
 
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -224,12 +224,13 @@
         let max_excess = max_connections / REFUSED_CONNECTIONS_DIVISOR + 1;
         let unused = match connections < max_connections + max_excess {
             true => shared.open_connections.take_lowest(Activity::unused_since),
-            false => return self.log_full(connections, "dropped"),
+            false => return self.log_full(connections, "dropped", stream.peer_addr().ok()),
         };
         match unused {
             Some(unused) => {
                 let is_idle = unused.idle_since().is_some();
-                self.log_full(connections, if is_idle { "closed_idle" } else { "closed_still" });
+                let action = if is_idle { "closed_idle" } else { "closed_still" };
+                self.log_full(connections, action, unused.peer());
                 unused.close_if_unused();
                 tokio::spawn(async move {
                     caller_conn::serve(shared, stream).await;
@@ -237,7 +238,7 @@
                 });
             }
             None => {
-                self.log_full(connections, "refused");
+                self.log_full(connections, "refused", stream.peer_addr().ok());
                 tokio::spawn(async move {
                     caller_conn::refuse(shared, stream).await;
                     drop(guard);
@@ -246,13 +247,13 @@
         }
     }
 
-    /// Counts and logs what becomes of a connection over the limit.
-    fn log_full(&self, connections: u64, action: &'static str) {
+    /// Counts and logs what becomes of a connection over the limit, or of the one that is closed for it.
+    fn log_full(&self, connections: u64, action: &'static str, peer: Option<SocketAddr>) {
         let hub = &self.shared.hub;
         hub.metrics.connection_over_limit(action);
         if let Some(dropped) = hub.log_limiter.take("connection_over_limit") {
             warn!(hub.log, "too many connections are open"; "kind" => "connection_over_limit",
-                "action" => action, "connections" => connections,
+                "action" => action, "peer" => peer.map(|peer| peer.to_string()), "connections" => connections,
                 "open_requests" => self.open_requests(), "dropped_lines" => dropped);
         }
     }
