--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -203,6 +203,11 @@
         state.is_idle().then_some(state.idle_since)
     }
 
+    /// Returns the address of the caller.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// Returns since when the connection has been idle, or else since when its request has stood
     /// still, which sorts after all idle ones.
     pub fn unused_since(&self) -> Option<(bool, Instant)> {
@@ -362,7 +367,7 @@
 
     /// Returns the address of the caller.
     pub fn peer(&self) -> Option<SocketAddr> {
-        self.activity.peer
+        self.activity.peer()
     }
 
     /// Lets the connection read the events of an answer on while its caller does not read.
