--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -340,6 +340,7 @@
     if arrival.is_retry {
         fleet.budget(now_ms, &arrival.pool).spend(now_ms);
     }
+<<<<<<< HEAD
     if fleet.settings.load_policy.admits_by_work {
         let work_ms = admission::work_ms(fleet, kind, &arrival);
         fleet.waiting.granted(now_ms, kind, &arrival, work_ms);
@@ -350,6 +351,9 @@
         fleet.loads.start(now_ms, attempt_id, &server.vm, prompt_tokens, expected);
     let answer = expected.and_then(|expected| Some((expected.answer_tokens, expected.events?)));
     let (answer_tokens, expected_events) = answer.unzip();
+=======
+    let progress_ms = fleet.loads.start(now_ms, attempt_id, &server.vm, prompt_tokens);
+>>>>>>> uneven
     if now_ms < server.cold_until_ms {
         fleet.loads.entry(&server.vm).cold_allowance.spend();
     }
