Review case 6: late orders of an earlier planning node break TWO

Cause: a head is fenced only against joins that the same planning node, in the same term, sent without an answer.

--- /dev/null
+++ b/review/6/case.rs
@@ -0,0 +1,713 @@
+//! Case 6: orders of an earlier planning node that are carried out late.
+//!
+//! Plays the platform's store, three runners of one fabric domain and the operator for two entry
+//! nodes, which are the project's own processes. The runners follow the pages. With `TROUBLE=1`
+//! (the default), runner `r1` leaves three orders unanswered and carries them out seconds later.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// A join of the model that the runner served last.
+const REJOIN: Duration = Duration::from_millis(200);
+const WARM: Duration = Duration::from_millis(300);
+const FORM: Duration = Duration::from_millis(100);
+/// Bounds of the delay of a late order, as the bench states them.
+const LATE_MIN: Duration = Duration::from_secs(2);
+const LATE_MAX: Duration = Duration::from_secs(12);
+
+const CONFIG: &str = r#"{"version":1,"routes":[
+{"name":"model","hostname":"club.example","path_prefix":"/model/","kind":"streaming","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":300}],
+"services":[{"name":"pool","health_path":"/health","max_connections":428,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":36.0,"engine":{"slots":17,"kv_capacity_tokens":1860000,"stride":5,"models":[{"name":"m","size":2,"share":1.0,"pace":1.0,"load_s":2.0,"warm_s":0.3}],"step_ms":7.8,"per_seq_ms":0.0947,"context_per_k":0.0096,"read_per_s":45900.0,"pairs_per_m":0.433,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":5.0,"loads_at_once":7,"usual":{"prompt":979,"answer":154},"keeps":1,"far_x":3.0,"form_ms":100.0}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"club","api_keys":["secret"],"priority":1}]}"#;
+
+/// The log of what was sent, answered and run.
+struct Record {
+    start: Instant,
+    lines: Mutex<Vec<String>>,
+}
+
+impl Record {
+    fn add(&self, text: String) {
+        let line = format!("{:8.3} {text}", self.start.elapsed().as_secs_f64());
+        println!("{line}");
+        self.lines.lock().unwrap().push(line);
+    }
+}
+
+// ---------------------------------------------------------------- HTTP
+
+struct Request {
+    path: String,
+    body: Vec<u8>,
+}
+
+fn read_request(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Option<Request> {
+    let mut buffer = [0_u8; 8192];
+    let head_end = loop {
+        if let Some(at) = rest.windows(4).position(|w| w == b"\r\n\r\n") {
+            break at + 4;
+        }
+        let bytes = stream.read(&mut buffer).ok().filter(|bytes| *bytes > 0)?;
+        rest.extend_from_slice(&buffer[..bytes]);
+    };
+    let head = String::from_utf8_lossy(&rest[..head_end]).to_string();
+    let length = head
+        .lines()
+        .filter_map(|line| line.split_once(':'))
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .and_then(|(_, value)| value.trim().parse::<usize>().ok())
+        .unwrap_or(0);
+    while rest.len() < head_end + length {
+        let bytes = stream.read(&mut buffer).ok().filter(|bytes| *bytes > 0)?;
+        rest.extend_from_slice(&buffer[..bytes]);
+    }
+    let body = rest[head_end..head_end + length].to_vec();
+    rest.drain(..head_end + length);
+    let path = head.split(' ').nth(1)?.to_owned();
+    Some(Request { path, body })
+}
+
+fn answer(status: u16, kind: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Serves each connection on a thread; a handler that returns `None` never answers.
+fn serve(
+    listener: TcpListener,
+    handler: impl Fn(Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+) {
+    let handler = Arc::new(handler);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            let handler = handler.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let mut rest = Vec::new();
+                while let Some(request) = read_request(&mut stream, &mut rest) {
+                    match handler(request) {
+                        Some(bytes) => {
+                            if stream.write_all(&bytes).is_err() {
+                                return;
+                            }
+                        }
+                        None => thread::sleep(LATE_MAX),
+                    }
+                }
+            });
+        }
+    });
+}
+
+// ---------------------------------------------------------------- the store
+
+#[derive(Default)]
+struct Store {
+    topics: Mutex<HashMap<String, Vec<Vec<u8>>>>,
+}
+
+impl Store {
+    fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let record = [&[key.len() as u8], key.as_bytes(), value].concat();
+        self.topics.lock().unwrap().entry(topic.to_owned()).or_default().push(record);
+    }
+
+    fn newest_value(&self, topic: &str) -> Option<String> {
+        let topics = self.topics.lock().unwrap();
+        let record = topics.get(topic)?.last()?;
+        Some(String::from_utf8_lossy(&record[1 + usize::from(record[0])..]).to_string())
+    }
+
+    fn handle(&self, request: Request) -> Option<Vec<u8>> {
+        let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        let field = |name: &str| {
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+        };
+        let topic = field("topic").unwrap_or_default();
+        let number = |name: &str| field(name).and_then(|value| value.parse::<u64>().ok());
+        thread::sleep(Duration::from_millis(1));
+        Some(match path {
+            "/log-append" => {
+                let mut topics = self.topics.lock().unwrap();
+                let records = topics.entry(topic).or_default();
+                if number("at").is_some_and(|at| at != records.len() as u64) {
+                    let body = format!("{{\"end\":{}}}", records.len());
+                    return Some(answer(412, "application/json", body.as_bytes()));
+                }
+                let offset = records.len();
+                let mut rest = &request.body[..];
+                while rest.len() >= 4 {
+                    let length = u32::from_be_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+                    records.push(rest[4..4 + length].to_vec());
+                    rest = &rest[4 + length..];
+                }
+                let body = format!("{{\"offset\":{offset},\"end\":{}}}", records.len());
+                answer(200, "application/json", body.as_bytes())
+            }
+            "/log-read" => {
+                let from = number("from").unwrap_or(0) as usize;
+                let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+                loop {
+                    {
+                        let mut topics = self.topics.lock().unwrap();
+                        let records = topics.entry(topic.clone()).or_default();
+                        if records.len() > from || Instant::now() >= until {
+                            let mut body = (records.len() as u64).to_be_bytes().to_vec();
+                            body.extend_from_slice(&0_u64.to_be_bytes());
+                            for record in records.iter().skip(from) {
+                                body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+                                body.extend_from_slice(record);
+                            }
+                            return Some(answer(200, "application/octet-stream", &body));
+                        }
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            }
+            "/log-newest" => {
+                let mut topics = self.topics.lock().unwrap();
+                let records = topics.entry(topic).or_default();
+                let mut newest = BTreeMap::new();
+                for (offset, record) in records.iter().enumerate() {
+                    let (key, value) = record[1..].split_at(usize::from(record[0]));
+                    let key = String::from_utf8_lossy(key).to_string();
+                    match value.is_empty() {
+                        true => _ = newest.remove(&key),
+                        false => _ = newest.insert(key, (value.to_vec(), offset)),
+                    }
+                }
+                let items: Vec<String> = newest
+                    .iter()
+                    .map(|(key, (value, offset))| {
+                        format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                    })
+                    .collect();
+                let body = format!(
+                    "{{\"items\":[{}],\"has_more\":false,\"end\":{}}}",
+                    items.join(","),
+                    records.len()
+                );
+                answer(200, "application/json", body.as_bytes())
+            }
+            _ => answer(404, "application/json", b"{}"),
+        })
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const LETTERS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        for index in 0..4 {
+            match index <= chunk.len() {
+                true => text.push(LETTERS[(word >> (18 - 6 * index) & 63) as usize] as char),
+                false => text.push('='),
+            }
+        }
+    }
+    text
+}
+
+// ---------------------------------------------------------------- the runners
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum State {
+    Joining,
+    Ready,
+    Open,
+}
+
+#[derive(Clone)]
+struct Group {
+    name: String,
+    epoch: u64,
+    members: Vec<String>,
+    state: State,
+    /// Distinguishes memberships, so that a timer of an earlier one has no effect.
+    number: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    group: Option<Group>,
+    highest_epoch: u64,
+    has_served: bool,
+    is_draining: bool,
+    is_gone: bool,
+    sequence: u64,
+    number: u64,
+    /// Late orders by what they are for, with the time at which they arrived.
+    late: Vec<(Instant, Order)>,
+    orders: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Order {
+    operation: String,
+    group: String,
+    epoch: u64,
+    members: Vec<String>,
+}
+
+struct Runner {
+    id: &'static str,
+    address: SocketAddr,
+    inner: Mutex<Inner>,
+}
+
+struct World {
+    store: Store,
+    runners: Vec<Runner>,
+    record: Record,
+    has_trouble: bool,
+    breaks: Mutex<Vec<String>>,
+    late: Mutex<Vec<f64>>,
+}
+
+fn text_field(json: &str, name: &str) -> String {
+    let start = json.split_once(&format!("\"{name}\":\"")).map_or("", |(_, rest)| rest);
+    start.split('"').next().unwrap_or("").to_owned()
+}
+
+fn parse_order(body: &[u8]) -> Order {
+    let json = String::from_utf8_lossy(body).to_string();
+    let epoch = json.split_once("\"epoch\":").map_or("", |(_, rest)| rest);
+    let epoch: String = epoch.chars().take_while(char::is_ascii_digit).collect();
+    let members = json.split_once("\"members\":[").map_or("", |(_, rest)| rest);
+    let members = members.split(']').next().unwrap_or("");
+    let members = members.split(',').map(|m| m.trim_matches('"').to_owned()).filter(|m| !m.is_empty());
+    Order {
+        operation: text_field(&json, "operation"),
+        group: text_field(&json, "group"),
+        epoch: epoch.parse().unwrap_or(0),
+        members: members.collect(),
+    }
+}
+
+impl World {
+    fn runner(&self, id: &str) -> &Runner {
+        self.runners.iter().find(|runner| runner.id == id).unwrap()
+    }
+
+    fn write_entry(&self, runner: &Runner) {
+        let mut inner = runner.inner.lock().unwrap();
+        if inner.is_gone {
+            return;
+        }
+        inner.sequence += 1;
+        let group = inner.group.as_ref().map_or("null".to_owned(), |group| {
+            let rank = group.members.iter().position(|m| m == runner.id).unwrap_or(0);
+            let state = format!("{:?}", group.state).to_lowercase();
+            format!(
+                "{{\"name\":\"{}\",\"epoch\":{},\"rank\":{rank},\"state\":\"{state}\"}}",
+                group.name, group.epoch
+            )
+        });
+        let state = if inner.is_draining { "draining" } else { "ready" };
+        let entry = format!(
+            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":17,\
+             \"state\":\"{state}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":[],\
+             \"domain\":\"a0\",\"staged\":[\"m\"],\"group\":{group},\"sequence\":{},\"born\":1764000000000}}",
+            runner.address, inner.sequence
+        );
+        drop(inner);
+        self.store.put("keyed.servers", runner.id, entry.as_bytes());
+    }
+
+    fn state_text(&self, id: &str) -> String {
+        let inner = self.runner(id).inner.lock().unwrap();
+        inner.group.as_ref().map_or("no group".to_owned(), |g| format!("{} {:?}", g.name, g.state))
+    }
+
+    /// Carries out an order; returns the status of its answer.
+    fn carry_out(self: &Arc<Self>, id: &'static str, order: &Order) -> u16 {
+        let status = match order.operation.as_str() {
+            "join" => self.join(id, order),
+            "open" => self.open(id, order),
+            // No request is under way, so a head that closes is ready at once.
+            "close" => self.change(id, order, |group| match group.state {
+                State::Open => {
+                    group.state = State::Ready;
+                    202
+                }
+                State::Ready => 200,
+                State::Joining => 409,
+            }),
+            "leave" => {
+                let runner = self.runner(id);
+                let mut inner = runner.inner.lock().unwrap();
+                let is_member =
+                    inner.group.as_ref().is_some_and(|g| g.name == order.group && g.epoch == order.epoch);
+                if is_member {
+                    inner.group = None;
+                }
+                if is_member { 202 } else { 409 }
+            }
+            "stage" => 200,
+            _ => 400,
+        };
+        self.write_entry(self.runner(id));
+        status
+    }
+
+    fn change(&self, id: &str, order: &Order, change: impl FnOnce(&mut Group) -> u16) -> u16 {
+        let mut inner = self.runner(id).inner.lock().unwrap();
+        match inner.group.as_mut().filter(|g| g.name == order.group && g.epoch == order.epoch) {
+            Some(group) => change(group),
+            None => 409,
+        }
+    }
+
+    fn join(self: &Arc<Self>, id: &'static str, order: &Order) -> u16 {
+        // The state of the head of the runner's present group, before it takes the join.
+        let present = self.runner(id).inner.lock().unwrap().group.clone();
+        let head = present.as_ref().and_then(|group| {
+            let head = group.members.first()?;
+            let inner = self.runner(head).inner.lock().unwrap();
+            let of_head = inner.group.clone()?;
+            (of_head.name == group.name && of_head.epoch == group.epoch && !inner.is_gone)
+                .then_some((head.clone(), of_head.state))
+        });
+        let (number, delay) = {
+            let mut inner = self.runner(id).inner.lock().unwrap();
+            if order.epoch < inner.highest_epoch {
+                return 412;
+            }
+            if let Some(group) = &inner.group
+                && group.name == order.group
+                && group.epoch == order.epoch
+            {
+                return if group.members == order.members { 200 } else { 412 };
+            }
+            inner.highest_epoch = order.epoch;
+            inner.number += 1;
+            let number = inner.number;
+            inner.group = Some(Group {
+                name: order.group.clone(),
+                epoch: order.epoch,
+                members: order.members.clone(),
+                state: State::Joining,
+                number,
+            });
+            let delay = if inner.has_served { REJOIN } else { WARM };
+            inner.has_served = true;
+            (number, delay)
+        };
+        if let Some((head, State::Open)) = head {
+            let text = format!(
+                "BROKEN: {id} takes the join of {} while the head {head} of its group {} is open",
+                order.group,
+                present.map(|group| group.name).unwrap_or_default()
+            );
+            self.record.add(text.clone());
+            self.breaks.lock().unwrap().push(text);
+        }
+        let world = self.clone();
+        thread::spawn(move || {
+            thread::sleep(delay);
+            world.advance(id, number, State::Joining, State::Ready);
+        });
+        202
+    }
+
+    fn open(self: &Arc<Self>, id: &'static str, order: &Order) -> u16 {
+        let number = {
+            let inner = self.runner(id).inner.lock().unwrap();
+            let group = inner.group.as_ref().filter(|g| g.name == order.group && g.epoch == order.epoch);
+            match group {
+                Some(group) if group.state == State::Open => return 200,
+                Some(group) if group.state == State::Ready && group.members[0] == id => group.number,
+                _ => return 409,
+            }
+        };
+        let world = self.clone();
+        thread::spawn(move || {
+            thread::sleep(FORM);
+            world.advance(id, number, State::Ready, State::Open);
+        });
+        202
+    }
+
+    fn advance(&self, id: &str, number: u64, from: State, to: State) {
+        {
+            let mut inner = self.runner(id).inner.lock().unwrap();
+            match inner.group.as_mut().filter(|g| g.number == number && g.state == from) {
+                Some(group) => group.state = to,
+                None => return,
+            }
+        }
+        self.record.add(format!("{id} is now {}", self.state_text(id)));
+        self.write_entry(self.runner(id));
+    }
+
+    /// Handles an order; `None` if it stays unanswered.
+    fn order(self: &Arc<Self>, id: &'static str, order: Order) -> Option<u16> {
+        let is_late = {
+            let mut inner = self.runner(id).inner.lock().unwrap();
+            inner.orders += 1;
+            // The first order of its kind for the first group, and the first join of the second one.
+            let joins = inner.late.iter().filter(|(_, l)| l.operation == "join");
+            let joins: Vec<String> = joins.map(|(_, l)| l.group.clone()).collect();
+            let opens = inner.late.iter().filter(|(_, l)| l.operation == "open").count();
+            let is_late = self.has_trouble
+                && id == "r1"
+                && match order.operation.as_str() {
+                    "join" => joins.len() < 2 && !joins.contains(&order.group),
+                    "open" => opens == 0,
+                    _ => false,
+                };
+            if is_late {
+                inner.late.push((Instant::now(), order.clone()));
+            }
+            is_late
+        };
+        if is_late {
+            self.record.add(format!("{id} leaves unanswered: {} {}", order.operation, order.group));
+            return None;
+        }
+        let status = self.carry_out(id, &order);
+        self.record.add(format!(
+            "{id} answers {status} to {} {}; {}",
+            order.operation,
+            order.group,
+            self.state_text(id)
+        ));
+        if self.has_trouble && id == "r1" && order.operation == "leave" && status == 202 {
+            let world = self.clone();
+            thread::spawn(move || world.late_orders());
+        }
+        Some(status)
+    }
+
+    /// Carries out what `r1` left unanswered, once it has left the first group.
+    fn late_orders(self: &Arc<Self>) {
+        thread::sleep(Duration::from_millis(20));
+        let late = std::mem::take(&mut self.runner("r1").inner.lock().unwrap().late);
+        // Kept, so that no further order is taken for a late one.
+        self.runner("r1").inner.lock().unwrap().late = late.clone();
+        for (sent, order) in late {
+            self.carry_out_late(sent, &order);
+            thread::sleep(REJOIN + Duration::from_millis(10));
+        }
+    }
+
+    fn carry_out_late(self: &Arc<Self>, sent: Instant, order: &Order) {
+        let delay = sent.elapsed();
+        self.late.lock().unwrap().push(delay.as_secs_f64());
+        let status = self.carry_out("r1", order);
+        self.record.add(format!(
+            "r1 carries out late, after {:.1} s: {} {}: {status}; {}",
+            delay.as_secs_f64(),
+            order.operation,
+            order.group,
+            self.state_text("r1")
+        ));
+    }
+
+    /// Carries out the late join of the second group two seconds after it arrived.
+    fn last_late_order(self: &Arc<Self>) {
+        let late = self.runner("r1").inner.lock().unwrap().late.clone();
+        if let Some((sent, order)) = late.into_iter().filter(|(_, o)| o.operation == "join").nth(1) {
+            thread::sleep((LATE_MIN + Duration::from_millis(50)).saturating_sub(sent.elapsed()));
+            self.carry_out_late(sent, &order);
+        }
+    }
+}
+
+// ---------------------------------------------------------------- the entry nodes
+
+struct Node {
+    name: &'static str,
+    child: Child,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start_node(
+    name: &'static str,
+    zone: &str,
+    ip: &str,
+    seeds: &str,
+    store: SocketAddr,
+    folder: &PathBuf,
+) -> Node {
+    let settings = format!(
+        "node_name = \"{name}\"\nrole = \"entry\"\nmachine_class = \"front\"\nip = \"{ip}\"\n\
+         zone = \"{zone}\"\nregion = \"r\"\nport_range = [7340,7355]\nseeds = [{seeds}]\n\
+         bootstrap = true\nheartbeat_ms = 1200\n\
+         contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"places\",\"platform\",\"gangs\"]\n\
+         [zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:8227\"\nready = \"{ip}:8220\"\n\
+         [limits]\nmemory_mb = 260\nmax_fds = 1000\n[bounds]\ndrain_ms = 2000\ngrace_s = 8\n\
+         config_apply_ms = 2000\nevacuate_ms = 5000\nstable_window_ms = 3000\nstall_ms = 5000\n\
+         [platform]\naddress = \"{store}\"\nform = \"log\"\n"
+    );
+    let path = folder.join(format!("{name}.toml"));
+    fs::write(&path, settings).unwrap();
+    let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
+    let child = Command::new("target/release/balsamturn")
+        .arg("platform")
+        .env("BALSAMTURN_NODE_FILE", &path)
+        .stdout(log.try_clone().unwrap())
+        .stderr(Stdio::from(log))
+        .spawn()
+        .unwrap_or_else(|error| fail(&format!("the program did not start: {error}")));
+    Node { name, child }
+}
+
+fn fail(text: &str) -> ! {
+    eprintln!("could not run: {text}");
+    std::process::exit(2)
+}
+
+fn wait_for(limit: Duration, mut is_done: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if is_done() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
+
+fn play(world: &Arc<World>, store: SocketAddr, folder: &PathBuf) -> Result<(), String> {
+    let (ip_a, ip_b) = ("127.86.6.1", "127.86.6.2");
+    let seeds = format!("\"{ip_a}:8229\",\"{ip_b}:8229\"");
+    let holder = || world.store.newest_value("keyed.planner").unwrap_or_default();
+    let is_open = |id: &str| world.state_text(id).ends_with("Open");
+
+    let a = start_node("front-a-1", "a", ip_a, &seeds, store, folder);
+    if !wait_for(Duration::from_secs(5), || holder().contains("front-a-1")) {
+        return Err("node a did not become the planning node".to_owned());
+    }
+    let b = start_node("front-b-1", "b", ip_b, &seeds, store, folder);
+    if !wait_for(Duration::from_secs(8), || is_open("r1")) {
+        return Err("r1 did not become the head of an open group".to_owned());
+    }
+    thread::sleep(Duration::from_millis(500));
+    let first = world.state_text("r1");
+
+    world.record.add(format!("planned: SIGTERM to {}", a.name));
+    let _ = Command::new("kill").args(["-TERM", &a.child.id().to_string()]).status();
+    if !wait_for(Duration::from_secs(5), || holder().contains(b.name)) {
+        return Err("node b did not become the planning node".to_owned());
+    }
+    world.record.add("planned: r2 reports that it is draining".to_owned());
+    world.runner("r2").inner.lock().unwrap().is_draining = true;
+    world.write_entry(world.runner("r2"));
+    let drained = world.clone();
+    thread::spawn(move || {
+        thread::sleep(DRAIN + Duration::from_millis(500));
+        drained.record.add("r2 ends".to_owned());
+        let mut inner = drained.runner("r2").inner.lock().unwrap();
+        inner.is_gone = true;
+        inner.group = None;
+        drop(inner);
+        drained.store.put("keyed.servers", "r2", b"");
+    });
+    // The second group of r1, with r3, opens in the end.
+    let is_done = || world.state_text("r1") != first && is_open("r1") || is_open("r3");
+    let second = wait_for(Duration::from_secs(15), is_done);
+    world.last_late_order();
+    thread::sleep(Duration::from_secs(3));
+    world.record.add(format!("in the end: r1 {}, r3 {}", world.state_text("r1"), world.state_text("r3")));
+    match second {
+        true => Ok(()),
+        false => Err("no second group opened".to_owned()),
+    }
+}
+
+fn main() {
+    let path = std::env::args().nth(1).unwrap_or_else(|| fail("the path of the record is missing"));
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = std::env::temp_dir().join(format!("review-6-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+
+    let listen = || TcpListener::bind("127.86.6.9:0").unwrap_or_else(|error| fail(&error.to_string()));
+    let store_listener = listen();
+    let store = store_listener.local_addr().unwrap();
+    let listeners: Vec<(&'static str, TcpListener)> = ["r1", "r2", "r3"].map(|id| (id, listen())).into();
+    let runners = listeners.iter().map(|(id, listener)| Runner {
+        id,
+        address: listener.local_addr().unwrap(),
+        inner: Mutex::default(),
+    });
+    let world = Arc::new(World {
+        store: Store::default(),
+        runners: runners.collect(),
+        record: Record { start: Instant::now(), lines: Mutex::default() },
+        has_trouble,
+        breaks: Mutex::default(),
+        late: Mutex::default(),
+    });
+    world.store.put("keyed.op", "config", CONFIG.as_bytes());
+    let serving = world.clone();
+    serve(store_listener, move |request| serving.store.handle(request));
+    for (id, listener) in listeners {
+        let serving = world.clone();
+        serve(listener, move |request| match request.path.as_str() {
+            "/order" => {
+                let status = serving.order(id, parse_order(&request.body))?;
+                Some(answer(status, "application/json", b"{}"))
+            }
+            "/report" => Some(answer(200, "application/json", b"{\"stage\":\"both\",\"models\":[],\"busy\":false,\"sequence\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":1860000,\"handles\":0}")),
+            _ => Some(answer(421, "application/json", b"{}")),
+        });
+        let beating = world.clone();
+        thread::spawn(move || loop {
+            beating.write_entry(beating.runner(id));
+            thread::sleep(HEARTBEAT);
+        });
+    }
+
+    let result = play(&world, store, &folder);
+    let orders: u32 = world.runners.iter().map(|r| r.inner.lock().unwrap().orders).sum();
+    let late = world.late.lock().unwrap().clone();
+    world.record.add(format!("{orders} orders, of which {} were carried out late, after {late:.1?} s", late.len()));
+    let breaks = world.breaks.lock().unwrap().clone();
+    let is_fair = late.iter().all(|s| (LATE_MIN.as_secs_f64()..=LATE_MAX.as_secs_f64()).contains(s))
+        && late.len() as f64 <= 0.5 * f64::from(orders);
+    let code = match (&result, breaks.is_empty()) {
+        _ if !is_fair => 2,
+        (_, false) => 1,
+        (Ok(()), true) => 0,
+        (Err(_), true) => 2,
+    };
+    world.record.add(format!("result {result:?}, rule broken {} times, exit {code}", breaks.len()));
+    let lines = world.record.lines.lock().unwrap().join("\n") + "\n";
+    let _ = fs::write(path, lines);
+    if std::env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(&folder);
+    } else {
+        println!("{}", folder.display());
+    }
+    std::process::exit(code)
+}
