--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -143,7 +144,10 @@
     fn handle(&self, request: Request) -> Option<Vec<u8>> {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let field = |name: &str| {
-            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+            query
+                .split('&')
+                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+                .map(str::to_owned)
         };
         let topic = field("topic").unwrap_or_default();
         let number = |name: &str| field(name).and_then(|value| value.parse::<u64>().ok());
@@ -201,7 +205,10 @@
                 let items: Vec<String> = newest
                     .iter()
                     .map(|(key, (value, offset))| {
-                        format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                        format!(
+                            "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                            base64(value)
+                        )
                     })
                     .collect();
                 let body = format!(
@@ -220,7 +227,8 @@
     const LETTERS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for index in 0..4 {
             match index <= chunk.len() {
                 true => text.push(LETTERS[(word >> (18 - 6 * index) & 63) as usize] as char),
@@ -298,7 +306,8 @@
     let epoch: String = epoch.chars().take_while(char::is_ascii_digit).collect();
     let members = json.split_once("\"members\":[").map_or("", |(_, rest)| rest);
     let members = members.split(']').next().unwrap_or("");
-    let members = members.split(',').map(|m| m.trim_matches('"').to_owned()).filter(|m| !m.is_empty());
+    let members =
+        members.split(',').map(|m| m.trim_matches('"').to_owned()).filter(|m| !m.is_empty());
     Order {
         operation: text_field(&json, "operation"),
         group: text_field(&json, "group"),
@@ -359,8 +368,10 @@
             "leave" => {
                 let runner = self.runner(id);
                 let mut inner = runner.inner.lock().unwrap();
-                let is_member =
-                    inner.group.as_ref().is_some_and(|g| g.name == order.group && g.epoch == order.epoch);
+                let is_member = inner
+                    .group
+                    .as_ref()
+                    .is_some_and(|g| g.name == order.group && g.epoch == order.epoch);
                 if is_member {
                     inner.group = None;
                 }
@@ -436,10 +447,13 @@
     fn open(self: &Arc<Self>, id: &'static str, order: &Order) -> u16 {
         let number = {
             let inner = self.runner(id).inner.lock().unwrap();
-            let group = inner.group.as_ref().filter(|g| g.name == order.group && g.epoch == order.epoch);
+            let group =
+                inner.group.as_ref().filter(|g| g.name == order.group && g.epoch == order.epoch);
             match group {
                 Some(group) if group.state == State::Open => return 200,
-                Some(group) if group.state == State::Ready && group.members[0] == id => group.number,
+                Some(group) if group.state == State::Ready && group.members[0] == id => {
+                    group.number
+                }
                 _ => return 409,
             }
         };
@@ -530,7 +544,8 @@
     /// Carries out the late join of the second group two seconds after it arrived.
     fn last_late_order(self: &Arc<Self>) {
         let late = self.runner("r1").inner.lock().unwrap().late.clone();
-        if let Some((sent, order)) = late.into_iter().filter(|(_, o)| o.operation == "join").nth(1) {
+        if let Some((sent, order)) = late.into_iter().filter(|(_, o)| o.operation == "join").nth(1)
+        {
             thread::sleep((LATE_MIN + Duration::from_millis(50)).saturating_sub(sent.elapsed()));
             self.carry_out_late(sent, &order);
         }
@@ -551,20 +566,45 @@
     }
 }
 
+/// Returns a port that is free at all these addresses.
+fn free_port(ips: [&str; 2]) -> u16 {
+    for _ in 0..100 {
+        let Ok(listener) = TcpListener::bind((ips[0], 0)) else { continue };
+        let Ok(address) = listener.local_addr() else { continue };
+        drop(listener);
+        let port = address.port();
+        let is_free =
+            |ip| TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok();
+        if ips.into_iter().all(is_free) {
+            return port;
+        }
+    }
+    fail("no port is free")
+}
+
+/// The ports of all nodes: for callers, for the readiness check and for other nodes.
+#[derive(Clone, Copy)]
+struct Ports {
+    front: u16,
+    ready: u16,
+    peers: u16,
+}
+
 fn start_node(
     name: &'static str,
     zone: &str,
     ip: &str,
-    seeds: &str,
+    (seeds, ports): (&str, Ports),
     store: SocketAddr,
     folder: &PathBuf,
-) -> Node {
+) -> Result<Node, String> {
+    let Ports { front, ready, peers } = ports;
     let settings = format!(
         "node_name = \"{name}\"\nrole = \"entry\"\nmachine_class = \"front\"\nip = \"{ip}\"\n\
-         zone = \"{zone}\"\nregion = \"r\"\nport_range = [7340,7355]\nseeds = [{seeds}]\n\
+         zone = \"{zone}\"\nregion = \"r\"\nport_range = [{peers},{peers}]\nseeds = [{seeds}]\n\
          bootstrap = true\nheartbeat_ms = 1200\n\
          contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"places\",\"platform\",\"gangs\"]\n\
-         [zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:8227\"\nready = \"{ip}:8220\"\n\
+         [zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\n\
          [limits]\nmemory_mb = 260\nmax_fds = 1000\n[bounds]\ndrain_ms = 2000\ngrace_s = 8\n\
          config_apply_ms = 2000\nevacuate_ms = 5000\nstable_window_ms = 3000\nstall_ms = 5000\n\
          [platform]\naddress = \"{store}\"\nform = \"log\"\n"
@@ -578,8 +618,8 @@
         .stdout(log.try_clone().unwrap())
         .stderr(Stdio::from(log))
         .spawn()
-        .unwrap_or_else(|error| fail(&format!("the program did not start: {error}")));
-    Node { name, child }
+        .map_err(|error| format!("the program did not start: {error}"))?;
+    Ok(Node { name, child })
 }
 
 fn fail(text: &str) -> ! {
@@ -600,15 +640,17 @@
 
 fn play(world: &Arc<World>, store: SocketAddr, folder: &PathBuf) -> Result<(), String> {
     let (ip_a, ip_b) = ("127.86.6.1", "127.86.6.2");
-    let seeds = format!("\"{ip_a}:8229\",\"{ip_b}:8229\"");
+    let free = || free_port([ip_a, ip_b]);
+    let ports = Ports { front: free(), ready: free(), peers: free() };
+    let seeds = format!("\"{ip_a}:{0}\",\"{ip_b}:{0}\"", ports.peers);
     let holder = || world.store.newest_value("keyed.planner").unwrap_or_default();
     let is_open = |id: &str| world.state_text(id).ends_with("Open");
 
-    let a = start_node("front-a-1", "a", ip_a, &seeds, store, folder);
+    let a = start_node("front-a-1", "a", ip_a, (&seeds, ports), store, folder)?;
     if !wait_for(Duration::from_secs(5), || holder().contains("front-a-1")) {
         return Err("node a did not become the planning node".to_owned());
     }
-    let b = start_node("front-b-1", "b", ip_b, &seeds, store, folder);
+    let b = start_node("front-b-1", "b", ip_b, (&seeds, ports), store, folder)?;
     if !wait_for(Duration::from_secs(8), || is_open("r1")) {
         return Err("r1 did not become the head of an open group".to_owned());
     }
@@ -638,7 +680,11 @@
     let second = wait_for(Duration::from_secs(15), is_done);
     world.last_late_order();
     thread::sleep(Duration::from_secs(3));
-    world.record.add(format!("in the end: r1 {}, r3 {}", world.state_text("r1"), world.state_text("r3")));
+    world.record.add(format!(
+        "in the end: r1 {}, r3 {}",
+        world.state_text("r1"),
+        world.state_text("r3")
+    ));
     match second {
         true => Ok(()),
         false => Err("no second group opened".to_owned()),
@@ -651,10 +697,12 @@
     let folder = std::env::temp_dir().join(format!("review-6-{}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
 
-    let listen = || TcpListener::bind("127.86.6.9:0").unwrap_or_else(|error| fail(&error.to_string()));
+    let listen =
+        || TcpListener::bind("127.86.6.9:0").unwrap_or_else(|error| fail(&error.to_string()));
     let store_listener = listen();
     let store = store_listener.local_addr().unwrap();
-    let listeners: Vec<(&'static str, TcpListener)> = ["r1", "r2", "r3"].map(|id| (id, listen())).into();
+    let listeners: Vec<(&'static str, TcpListener)> =
+        ["r1", "r2", "r3"].map(|id| (id, listen())).into();
     let runners = listeners.iter().map(|(id, listener)| Runner {
         id,
         address: listener.local_addr().unwrap(),
@@ -673,28 +721,36 @@
     serve(store_listener, move |request| serving.store.handle(request));
     for (id, listener) in listeners {
         let serving = world.clone();
-        serve(listener, move |request| match request.path.as_str() {
+        serve(listener, move |request| {
+            match request.path.as_str() {
             "/order" => {
                 let status = serving.order(id, parse_order(&request.body))?;
                 Some(answer(status, "application/json", b"{}"))
             }
             "/report" => Some(answer(200, "application/json", b"{\"stage\":\"both\",\"models\":[],\"busy\":false,\"sequence\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":1860000,\"handles\":0}")),
             _ => Some(answer(421, "application/json", b"{}")),
+        }
         });
         let beating = world.clone();
-        thread::spawn(move || loop {
-            beating.write_entry(beating.runner(id));
-            thread::sleep(HEARTBEAT);
+        thread::spawn(move || {
+            loop {
+                beating.write_entry(beating.runner(id));
+                thread::sleep(HEARTBEAT);
+            }
         });
     }
 
     let result = play(&world, store, &folder);
     let orders: u32 = world.runners.iter().map(|r| r.inner.lock().unwrap().orders).sum();
     let late = world.late.lock().unwrap().clone();
-    world.record.add(format!("{orders} orders, of which {} were carried out late, after {late:.1?} s", late.len()));
+    world.record.add(format!(
+        "{orders} orders, of which {} were carried out late, after {late:.1?} s",
+        late.len()
+    ));
     let breaks = world.breaks.lock().unwrap().clone();
-    let is_fair = late.iter().all(|s| (LATE_MIN.as_secs_f64()..=LATE_MAX.as_secs_f64()).contains(s))
-        && late.len() as f64 <= 0.5 * f64::from(orders);
+    let is_fair =
+        late.iter().all(|s| (LATE_MIN.as_secs_f64()..=LATE_MAX.as_secs_f64()).contains(s))
+            && late.len() as f64 <= 0.5 * f64::from(orders);
     let code = match (&result, breaks.is_empty()) {
         _ if !is_fair => 2,
         (_, false) => 1,
