--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -633,11 +633,20 @@
         return Err("the runners of zone b did not form a group".to_owned());
     }
     thread::sleep(Duration::from_secs(1));
-    if has_trouble {
+    // With ALIGN=0, the store serves node b again at any time.
+    let is_aligned = std::env::var("ALIGN").map_or(true, |value| value != "0");
+    if has_trouble && !is_aligned {
+        thread::sleep(Duration::from_millis(u64::from(std::process::id()) * 7_919 % 1_700));
+        let since = world.turned_away.lock().unwrap().take();
+        *world.turned_away_s.lock().unwrap() =
+            since.map_or(0.0, |since| since.elapsed().as_secs_f64());
+    } else if has_trouble {
         *world.may_return.lock().unwrap() = true;
         if !wait_for(TURNED_AWAY_MAX, || world.turned_away.lock().unwrap().is_none()) {
             return Err("node b did not read the list".to_owned());
         }
+    }
+    if has_trouble {
         let seconds = *world.turned_away_s.lock().unwrap();
         world.record.add(format!("the store serves node b again, after {seconds:.1} s"));
     }
