--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,8 +1,8 @@
-//! Case 6: orders of an earlier planning node that are carried out late.
+//! Case 6: a planning node that has taken over plans on the list of before the store turned it away.
 //!
-//! Plays the platform's store, three runners of one fabric domain and the operator for two entry
+//! Plays the platform's store, four runners of two fabric domains and the operator for two entry
 //! nodes, which are the project's own processes. The runners follow the pages. With `TROUBLE=1`
-//! (the default), runner `r1` leaves three orders unanswered and carries them out seconds later.
+//! (the default), the store leaves the calls of node `b` unanswered for some seconds.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -24,14 +24,12 @@
 use std::time::Instant;
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-const DRAIN: Duration = Duration::from_millis(2_000);
 /// A join of the model that the runner served last.
 const REJOIN: Duration = Duration::from_millis(200);
 const WARM: Duration = Duration::from_millis(300);
 const FORM: Duration = Duration::from_millis(100);
-/// Bounds of the delay of a late order, as the bench states them.
-const LATE_MIN: Duration = Duration::from_secs(2);
-const LATE_MAX: Duration = Duration::from_secs(12);
+/// Longest time for which the store turns one node away, in the site files.
+const TURNED_AWAY_MAX: Duration = Duration::from_secs(7);
 
 const CONFIG: &str = r#"{"version":1,"routes":[
 {"name":"model","hostname":"club.example","path_prefix":"/model/","kind":"streaming","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"pool","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":300}],
@@ -114,7 +112,7 @@
                                 return;
                             }
                         }
-                        None => thread::sleep(LATE_MAX),
+                        None => thread::sleep(Duration::from_secs(20)),
                     }
                 }
             });
@@ -267,8 +265,6 @@
     is_gone: bool,
     sequence: u64,
     number: u64,
-    /// Late orders by what they are for, with the time at which they arrived.
-    late: Vec<(Instant, Order)>,
     orders: u32,
 }
 
@@ -282,6 +278,7 @@
 
 struct Runner {
     id: &'static str,
+    zone: &'static str,
     address: SocketAddr,
     inner: Mutex<Inner>,
 }
@@ -290,9 +287,12 @@
     store: Store,
     runners: Vec<Runner>,
     record: Record,
-    has_trouble: bool,
     breaks: Mutex<Vec<String>>,
-    late: Mutex<Vec<f64>>,
+    /// Since when the store has turned node `b` away.
+    turned_away: Mutex<Option<Instant>>,
+    /// Whether the store serves node `b` again once a read of the list is under way.
+    may_return: Mutex<bool>,
+    turned_away_s: Mutex<f64>,
 }
 
 fn text_field(json: &str, name: &str) -> String {
@@ -337,10 +337,10 @@
         });
         let state = if inner.is_draining { "draining" } else { "ready" };
         let entry = format!(
-            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":17,\
+            "{{\"service\":\"pool\",\"address\":\"{1}\",\"zone\":\"{0}\",\"version\":\"v1\",\"slots\":17,\
              \"state\":\"{state}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":[],\
-             \"domain\":\"a0\",\"staged\":[\"m\"],\"group\":{group},\"sequence\":{},\"born\":1764000000000}}",
-            runner.address, inner.sequence
+             \"domain\":\"{0}0\",\"staged\":[\"m\"],\"group\":{group},\"sequence\":{2},\"born\":1764000000000}}",
+            runner.zone, runner.address, inner.sequence
         );
         drop(inner);
         self.store.put("keyed.servers", runner.id, entry.as_bytes());
@@ -477,31 +477,9 @@
         self.write_entry(self.runner(id));
     }
 
-    /// Handles an order; `None` if it stays unanswered.
-    fn order(self: &Arc<Self>, id: &'static str, order: Order) -> Option<u16> {
-        let is_late = {
-            let mut inner = self.runner(id).inner.lock().unwrap();
-            inner.orders += 1;
-            // The first order of its kind for the first group, and the first join of the second one.
-            let joins = inner.late.iter().filter(|(_, l)| l.operation == "join");
-            let joins: Vec<String> = joins.map(|(_, l)| l.group.clone()).collect();
-            let opens = inner.late.iter().filter(|(_, l)| l.operation == "open").count();
-            let is_late = self.has_trouble
-                && id == "r1"
-                && match order.operation.as_str() {
-                    "join" => joins.len() < 2 && !joins.contains(&order.group),
-                    "open" => opens == 0,
-                    _ => false,
-                };
-            if is_late {
-                inner.late.push((Instant::now(), order.clone()));
-            }
-            is_late
-        };
-        if is_late {
-            self.record.add(format!("{id} leaves unanswered: {} {}", order.operation, order.group));
-            return None;
-        }
+    /// Handles an order; returns the status of its answer.
+    fn order(self: &Arc<Self>, id: &'static str, order: Order) -> u16 {
+        self.runner(id).inner.lock().unwrap().orders += 1;
         let status = self.carry_out(id, &order);
         self.record.add(format!(
             "{id} answers {status} to {} {}; {}",
@@ -509,46 +487,29 @@
             order.group,
             self.state_text(id)
         ));
-        if self.has_trouble && id == "r1" && order.operation == "leave" && status == 202 {
-            let world = self.clone();
-            thread::spawn(move || world.late_orders());
-        }
-        Some(status)
+        status
     }
 
-    /// Carries out what `r1` left unanswered, once it has left the first group.
-    fn late_orders(self: &Arc<Self>) {
-        thread::sleep(Duration::from_millis(20));
-        let late = std::mem::take(&mut self.runner("r1").inner.lock().unwrap().late);
-        // Kept, so that no further order is taken for a late one.
-        self.runner("r1").inner.lock().unwrap().late = late.clone();
-        for (sent, order) in late {
-            self.carry_out_late(sent, &order);
-            thread::sleep(REJOIN + Duration::from_millis(10));
+    /// Handles a call of node `b` to the store; `None` while the store turns it away.
+    fn call_of_b(&self, request: Request) -> Option<Vec<u8>> {
+        let is_list = request.path.contains("topic=keyed.servers");
+        if self.is_turned_away(is_list) {
+            return None;
         }
+        let answer = self.store.handle(request)?;
+        // A read that waited is not answered either.
+        (!self.is_turned_away(false)).then_some(answer)
     }
 
-    fn carry_out_late(self: &Arc<Self>, sent: Instant, order: &Order) {
-        let delay = sent.elapsed();
-        self.late.lock().unwrap().push(delay.as_secs_f64());
-        let status = self.carry_out("r1", order);
-        self.record.add(format!(
-            "r1 carries out late, after {:.1} s: {} {}: {status}; {}",
-            delay.as_secs_f64(),
-            order.operation,
-            order.group,
-            self.state_text("r1")
-        ));
-    }
-
-    /// Carries out the late join of the second group two seconds after it arrived.
-    fn last_late_order(self: &Arc<Self>) {
-        let late = self.runner("r1").inner.lock().unwrap().late.clone();
-        if let Some((sent, order)) = late.into_iter().filter(|(_, o)| o.operation == "join").nth(1)
-        {
-            thread::sleep((LATE_MIN + Duration::from_millis(50)).saturating_sub(sent.elapsed()));
-            self.carry_out_late(sent, &order);
+    fn is_turned_away(&self, is_list: bool) -> bool {
+        let mut turned_away = self.turned_away.lock().unwrap();
+        let Some(since) = *turned_away else { return false };
+        if is_list && *self.may_return.lock().unwrap() {
+            // This call is the last one without an answer.
+            *turned_away = None;
+            *self.turned_away_s.lock().unwrap() = since.elapsed().as_secs_f64();
         }
+        true
     }
 }
 
@@ -638,7 +599,12 @@
     false
 }
 
-fn play(world: &Arc<World>, store: SocketAddr, folder: &PathBuf) -> Result<(), String> {
+fn play(
+    world: &Arc<World>,
+    (store_a, store_b): (SocketAddr, SocketAddr),
+    folder: &PathBuf,
+    has_trouble: bool,
+) -> Result<(), String> {
     let (ip_a, ip_b) = ("127.86.6.1", "127.86.6.2");
     let free = || free_port([ip_a, ip_b]);
     let ports = Ports { front: free(), ready: free(), peers: free() };
@@ -646,49 +612,54 @@
     let holder = || world.store.newest_value("keyed.planner").unwrap_or_default();
     let is_open = |id: &str| world.state_text(id).ends_with("Open");
 
-    let a = start_node("front-a-1", "a", ip_a, (&seeds, ports), store, folder)?;
+    let a = start_node("front-a-1", "a", ip_a, (&seeds, ports), store_a, folder)?;
     if !wait_for(Duration::from_secs(5), || holder().contains("front-a-1")) {
         return Err("node a did not become the planning node".to_owned());
     }
-    let b = start_node("front-b-1", "b", ip_b, (&seeds, ports), store, folder)?;
+    let b = start_node("front-b-1", "b", ip_b, (&seeds, ports), store_b, folder)?;
     if !wait_for(Duration::from_secs(8), || is_open("r1")) {
         return Err("r1 did not become the head of an open group".to_owned());
     }
-    thread::sleep(Duration::from_millis(500));
-    let first = world.state_text("r1");
+    thread::sleep(Duration::from_secs(3));
 
+    if has_trouble {
+        world.record.add("the store leaves the calls of node b unanswered".to_owned());
+        *world.turned_away.lock().unwrap() = Some(Instant::now());
+        thread::sleep(Duration::from_millis(500));
+    }
+    world.record.add("planned: zone b is taken back".to_owned());
+    world.store.put("keyed.op", "evacuate/b", b"");
+    if !wait_for(Duration::from_secs(5), || is_open("r3") || is_open("r4")) {
+        return Err("the runners of zone b did not form a group".to_owned());
+    }
+    thread::sleep(Duration::from_secs(1));
+    // With ALIGN=0, the store serves node b again at any time.
+    let is_aligned = std::env::var("ALIGN").map_or(true, |value| value != "0");
+    if has_trouble && !is_aligned {
+        thread::sleep(Duration::from_millis(u64::from(std::process::id()) * 7_919 % 1_700));
+        let since = world.turned_away.lock().unwrap().take();
+        *world.turned_away_s.lock().unwrap() =
+            since.map_or(0.0, |since| since.elapsed().as_secs_f64());
+    } else if has_trouble {
+        *world.may_return.lock().unwrap() = true;
+        if !wait_for(TURNED_AWAY_MAX, || world.turned_away.lock().unwrap().is_none()) {
+            return Err("node b did not read the list".to_owned());
+        }
+    }
+    if has_trouble {
+        let seconds = *world.turned_away_s.lock().unwrap();
+        world.record.add(format!("the store serves node b again, after {seconds:.1} s"));
+    }
     world.record.add(format!("planned: SIGTERM to {}", a.name));
     let _ = Command::new("kill").args(["-TERM", &a.child.id().to_string()]).status();
     if !wait_for(Duration::from_secs(5), || holder().contains(b.name)) {
         return Err("node b did not become the planning node".to_owned());
     }
-    world.record.add("planned: r2 reports that it is draining".to_owned());
-    world.runner("r2").inner.lock().unwrap().is_draining = true;
-    world.write_entry(world.runner("r2"));
-    let drained = world.clone();
-    thread::spawn(move || {
-        thread::sleep(DRAIN + Duration::from_millis(500));
-        drained.record.add("r2 ends".to_owned());
-        let mut inner = drained.runner("r2").inner.lock().unwrap();
-        inner.is_gone = true;
-        inner.group = None;
-        drop(inner);
-        drained.store.put("keyed.servers", "r2", b"");
-    });
-    // The second group of r1, with r3, opens in the end.
-    let is_done = || world.state_text("r1") != first && is_open("r1") || is_open("r3");
-    let second = wait_for(Duration::from_secs(15), is_done);
-    world.last_late_order();
-    thread::sleep(Duration::from_secs(3));
-    world.record.add(format!(
-        "in the end: r1 {}, r3 {}",
-        world.state_text("r1"),
-        world.state_text("r3")
-    ));
-    match second {
-        true => Ok(()),
-        false => Err("no second group opened".to_owned()),
-    }
+    world.record.add("node b has the planner lease".to_owned());
+    thread::sleep(Duration::from_secs(5));
+    let states = ["r1", "r2", "r3", "r4"].map(|id| format!("{id} {}", world.state_text(id)));
+    world.record.add(format!("in the end: {}", states.join(", ")));
+    Ok(())
 }
 
 fn main() {
@@ -699,12 +670,16 @@
 
     let listen =
         || TcpListener::bind("127.86.6.9:0").unwrap_or_else(|error| fail(&error.to_string()));
-    let store_listener = listen();
-    let store = store_listener.local_addr().unwrap();
-    let listeners: Vec<(&'static str, TcpListener)> =
-        ["r1", "r2", "r3"].map(|id| (id, listen())).into();
-    let runners = listeners.iter().map(|(id, listener)| Runner {
+    // The store has an address for each node, so that it can tell their calls apart.
+    let (listener_a, listener_b) = (listen(), listen());
+    let stores = (listener_a.local_addr().unwrap(), listener_b.local_addr().unwrap());
+    let listeners: Vec<(&'static str, &'static str, TcpListener)> =
+        [("r1", "a"), ("r2", "a"), ("r3", "b"), ("r4", "b")]
+            .map(|(id, zone)| (id, zone, listen()))
+            .into();
+    let runners = listeners.iter().map(|(id, zone, listener)| Runner {
         id,
+        zone,
         address: listener.local_addr().unwrap(),
         inner: Mutex::default(),
     });
@@ -712,19 +687,23 @@
         store: Store::default(),
         runners: runners.collect(),
         record: Record { start: Instant::now(), lines: Mutex::default() },
-        has_trouble,
         breaks: Mutex::default(),
-        late: Mutex::default(),
+        turned_away: Mutex::default(),
+        may_return: Mutex::default(),
+        turned_away_s: Mutex::default(),
     });
     world.store.put("keyed.op", "config", CONFIG.as_bytes());
-    let serving = world.clone();
-    serve(store_listener, move |request| serving.store.handle(request));
-    for (id, listener) in listeners {
+    world.record.add("planned: zone b is evacuated; its runners start there".to_owned());
+    world.store.put("keyed.op", "evacuate/b", b"{}");
+    let (serving_a, serving_b) = (world.clone(), world.clone());
+    serve(listener_a, move |request| serving_a.store.handle(request));
+    serve(listener_b, move |request| serving_b.call_of_b(request));
+    for (id, _, listener) in listeners {
         let serving = world.clone();
         serve(listener, move |request| {
             match request.path.as_str() {
             "/order" => {
-                let status = serving.order(id, parse_order(&request.body))?;
+                let status = serving.order(id, parse_order(&request.body));
                 Some(answer(status, "application/json", b"{}"))
             }
             "/report" => Some(answer(200, "application/json", b"{\"stage\":\"both\",\"models\":[],\"busy\":false,\"sequence\":1,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":1860000,\"handles\":0}")),
@@ -740,17 +719,9 @@
         });
     }
 
-    let result = play(&world, store, &folder);
-    let orders: u32 = world.runners.iter().map(|r| r.inner.lock().unwrap().orders).sum();
-    let late = world.late.lock().unwrap().clone();
-    world.record.add(format!(
-        "{orders} orders, of which {} were carried out late, after {late:.1?} s",
-        late.len()
-    ));
+    let result = play(&world, stores, &folder, has_trouble);
     let breaks = world.breaks.lock().unwrap().clone();
-    let is_fair =
-        late.iter().all(|s| (LATE_MIN.as_secs_f64()..=LATE_MAX.as_secs_f64()).contains(s))
-            && late.len() as f64 <= 0.5 * f64::from(orders);
+    let is_fair = *world.turned_away_s.lock().unwrap() <= TURNED_AWAY_MAX.as_secs_f64();
     let code = match (&result, breaks.is_empty()) {
         _ if !is_fair => 2,
         (_, false) => 1,
