Planner: give no orders on a list from before the lease was taken

Cause: the lease and the list are read by separate calls, and only the age of the lease was asked. A node that the store had turned away took the lease by a single append and planned on the list of before.

Why this works: a group is opened only after the list showed its members ready, so a read of the list that begins after the lease was taken and the last orders had arrived shows every group that may be open. The same bound holds in the course of a term; a holder that cannot read the list releases the lease. A line `planning` says how old the list was.

Red before (condition taken out), green after: a_new_planner_gives_no_orders_on_a_list_of_the_last_term (3 cases, 24 orders for none), a_planner_that_cannot_read_the_list_stops_and_hands_over (37 orders for 24).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -65,6 +65,8 @@
     /// list may not show.
     leaving: BTreeMap<VmName, u64>,
     last_read_ms: Option<u64>,
+    /// When this node's own last complete read began.
+    own_read_begun_ms: Option<u64>,
     returned_ms: Option<u64>,
 }
 
@@ -176,6 +178,19 @@
         self.last_read_ms.map_or(u64::MAX, |read_ms| now_ms.saturating_sub(read_ms))
     }
 
+    /// Records a read of this node that reached the end of the list.
+    pub fn record_own_read(&mut self, begun_ms: u64) {
+        self.own_read_begun_ms = self.own_read_begun_ms.max(Some(begun_ms));
+    }
+
+    /// Returns when this node's own last complete read began.
+    ///
+    /// The list shows at least what the store had accepted by then. The updates of other nodes have
+    /// no such bound, as they do not say when they were read.
+    pub fn own_read_begun_ms(&self) -> Option<u64> {
+        self.own_read_begun_ms
+    }
+
     /// Whether an entry is older than one received before. Treating it as the newest would show a
     /// head without the group that it serves.
     fn is_stale(&mut self, now_ms: u64, listed: &Endpoint) -> bool {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -37,6 +37,11 @@
     Configuration(Arc<Configuration>),
     /// The list of endpoints was read.
     List(ListChange),
+    /// This node has applied a read of the list that reached its end.
+    ListRead {
+        /// When the read began: the list is at least as new.
+        begun_ms: u64,
+    },
     /// The operators' topic was read.
     Operators(OperatorsUpdate),
     /// A request needs an endpoint.
@@ -657,4 +662,13 @@
         /// The generation; `None` when the lease ended.
         generation: Option<u64>,
     },
+    /// The planning node started to give orders, or stopped because its list is too old.
+    Planning {
+        /// Whether it gives orders.
+        is_active: bool,
+        /// How long it has held the lease.
+        held_ms: u64,
+        /// The age of its list; `None` if it has not read the list itself.
+        list_age_ms: Option<u64>,
+    },
 }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -28,6 +28,7 @@
 use crate::configuration::Model;
 use crate::demand::Demand;
 use crate::directory::Directory;
+use crate::directory::LIST_OUTAGE_MS;
 use crate::endpoint::Endpoint;
 use crate::endpoint::MAX_EPOCH;
 use crate::endpoint::MemberState;
@@ -47,7 +48,8 @@
 /// Delay before an unanswered order is sent again.
 const RESEND_INTERVAL_MS: u64 = 500;
 
-/// Delay after taking over during which orders of the previous planning node may still arrive.
+/// Delay after taking over during which orders of the previous planning node may still arrive. Only a
+/// read of the list that begins later shows all that they did.
 const TAKEOVER_DELAY_MS: u64 = 400;
 
 /// The list is considered complete when it has not grown for this long after the start.
@@ -190,6 +192,8 @@
 pub struct Planner {
     leadership: Option<Leadership>,
     lease_held_since_ms: u64,
+    /// Whether the list was new enough for orders when the planner last ran in this term.
+    is_active: bool,
     last_epoch: u64,
     forming: BTreeMap<GroupName, Forming>,
     ending: BTreeMap<GroupKey, Ending>,
@@ -266,7 +270,8 @@
         if before == after {
             return None;
         }
-        if before.is_none() {
+        self.is_active = false;
+        if after.is_some() {
             self.lease_held_since_ms = now_ms;
             self.clear_plans();
         }
@@ -278,6 +283,13 @@
         self.leadership.is_some_and(|l| now_ms < l.until_ms)
     }
 
+    /// Whether this node has held the lease for the length of an outage of the list without a read of
+    /// it.
+    pub fn lacks_list(&self, now_ms: u64, directory: &Directory) -> bool {
+        let read_ms = directory.own_read_begun_ms().unwrap_or(0).max(self.lease_held_since_ms);
+        self.holds_lease(now_ms) && now_ms > read_ms + LIST_OUTAGE_MS
+    }
+
     /// Records the head of a group as shown by the list.
     pub fn record_head(&mut self, now_ms: u64, endpoint: &Endpoint) {
         let Some(membership) = endpoint.membership.as_ref().filter(|m| m.rank == 0) else {
@@ -456,18 +468,19 @@
     /// Returns the orders and probes that are due now.
     pub fn plan(&mut self, view: &View<'_>) -> Vec<Effect> {
         let now_ms = view.now_ms;
-        if !self.holds_lease(now_ms) || now_ms < self.lease_held_since_ms + TAKEOVER_DELAY_MS {
+        if !self.holds_lease(now_ms) {
             return Vec::new();
         }
-        if !self.is_settled(view) {
-            return Vec::new();
+        let mut effects: Vec<Effect> = self.update_activity(view).into_iter().collect();
+        let is_settled = self.is_settled(view);
+        if !self.is_active || !is_settled {
+            return effects;
         }
         let observed = formation::observe_groups(view.directory);
         self.sent.retain(|_, sent_ms| now_ms < *sent_ms + RESEND_INTERVAL_MS);
         let epochs = observed.keys().map(|(_, epoch)| *epoch);
         let highest = epochs.filter(|epoch| *epoch <= MAX_FOLLOWED_EPOCH).max().unwrap_or(0);
         self.last_epoch = self.last_epoch.max(highest);
-        let mut effects = Vec::new();
         self.update_void(view);
         self.probe_dead(view, &mut effects);
         self.probe_silent(view, &mut effects);
@@ -479,6 +492,24 @@
         effects
     }
 
+    /// Updates whether the list is new enough for orders; returns a decision to log if that changed.
+    ///
+    /// The lease and the list are read from the store by separate calls, so a node may take or renew
+    /// the lease while its list is old. An endpoint that is free in such a list may serve by now: see
+    /// `docs/incidents/old-list.md`. The list must show all that earlier terms ordered, and in the
+    /// course of the term it must not be older than an outage of the list.
+    fn update_activity(&mut self, view: &View<'_>) -> Option<Effect> {
+        let held_ms = view.now_ms.saturating_sub(self.lease_held_since_ms);
+        let begun_ms = view.directory.own_read_begun_ms();
+        let list_age_ms = begun_ms.map(|begun_ms| view.now_ms.saturating_sub(begun_ms));
+        let max_age_ms = held_ms.checked_sub(TAKEOVER_DELAY_MS).map(|ms| ms.min(LIST_OUTAGE_MS));
+        let is_active =
+            list_age_ms.zip(max_age_ms).is_some_and(|(age_ms, max_age_ms)| age_ms <= max_age_ms);
+        let was_active = std::mem::replace(&mut self.is_active, is_active);
+        let decision = Decision::Planning { is_active, held_ms, list_age_ms };
+        (was_active != is_active).then_some(Effect::LogDecision(decision))
+    }
+
     /// Clears plans of an earlier term, which must not be acted on when the node plans again.
     fn clear_plans(&mut self) {
         self.forming.clear();
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -44,6 +44,7 @@
             apply_configuration(fleet, configuration, &mut effects)
         }
         Event::List(change) => apply_list_change(fleet, now_ms, change, &mut effects),
+        Event::ListRead { begun_ms } => fleet.directory.record_own_read(begun_ms),
         Event::Operators(update) => evacuations::apply_update(fleet, now_ms, update, &mut effects),
         Event::Arrive(arrival) => arrive(fleet, now_ms, arrival, &mut effects),
         Event::Started(attempt_id) => {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -359,6 +359,13 @@
         })
     }
 
+    /// Whether this node holds the planner lease without a list to plan on, while another node gets
+    /// answers from the store.
+    pub fn should_hand_over_planning(&self, now_ms: u64) -> bool {
+        let mut live = self.peers.values().filter(|peer| peer.is_live(now_ms));
+        self.planner.lacks_list(now_ms, &self.directory) && live.any(|peer| peer.has_store)
+    }
+
     /// Whether no call of this node to the store failed within `STORE_RECOVERY_MS`.
     fn has_store(&self, now_ms: u64) -> bool {
         self.store_lost_ms.is_none_or(|at_ms| now_ms >= at_ms + STORE_RECOVERY_MS)
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod load;
 mod odd_entries;
+mod old_list;
 mod operators;
 mod own_pauses;
 mod planning_node;
--- a/crates/fleet/tests/fleet/planning_node.rs
+++ b/crates/fleet/tests/fleet/planning_node.rs
@@ -94,6 +94,7 @@
     /// Ends due probes and applies a tick.
     fn tick(&mut self) {
         self.hear_and_renew();
+        self.apply(Event::ListRead { begun_ms: self.now_ms });
         let now_ms = self.now_ms;
         let probes = std::mem::take(&mut self.probes);
         let (due, later): (Vec<_>, Vec<_>) = probes.into_iter().partition(|p| p.0 <= now_ms);
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -326,6 +326,7 @@
             .map(|host| Endpoint { sequence: now_ms / HEARTBEAT_MS, ..host.entry.clone() });
         let whole = ListChange::Whole(listed.collect());
         self.apply(Event::List(whole));
+        self.apply(Event::ListRead { begun_ms: now_ms });
     }
 
     /// Reports which data centres can be reached, as running requests would show.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -156,6 +156,10 @@
             info!(log, "planner lease changed"; "kind" => kind, "generation" => generation,
                 "dropped_lines" => dropped);
         }
+        Decision::Planning { is_active, held_ms, list_age_ms } => {
+            info!(log, "planning started or stopped"; "kind" => kind, "is_active" => is_active,
+                "held_ms" => held_ms, "list_age_ms" => list_age_ms, "dropped_lines" => dropped);
+        }
     }
     kind
 }
@@ -182,5 +186,6 @@
         Decision::DataCentreCut { .. } => "data_centre_cut",
         Decision::Use { .. } => "use",
         Decision::Leading { .. } => "leading",
+        Decision::Planning { .. } => "planning",
     }
 }
