Streams: accept event ids that rise by more than one

Cause: both stacks took an id other than the last one plus one for a missing event, whichever run sent it.

Why this works: within a run nothing is missing between two events, as the connection delivers them in order and shows its end. Ids are needed only where a run takes over from another: there the first step is bounded by the widest one so far, a step of more than one after ids that rose by one is still a missing event, and an event that carries a part that the caller has is not passed on. The check is one type in crates/http for both stacks.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod accept_queue;
 pub mod client;
+pub mod event_order;
 mod head_limit;
 pub mod headers;
 pub mod linger;
@@ -20,6 +21,9 @@
 pub use client::Conn;
 pub use client::Reuse;
 pub use client::SendError;
+pub use event_order::EventOrder;
+pub use event_order::RunOrder;
+pub use event_order::Step;
 pub use linger::Linger;
 pub use memory::HeldMemory;
 pub use memory::Reservation;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,10 @@
 use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::load::BACKOFF_MS;
 use balsam_http::Event;
+use balsam_http::EventOrder;
 use balsam_http::ReusableTimeout;
+use balsam_http::RunOrder;
+use balsam_http::Step;
 use balsam_types::VmName;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -63,7 +66,7 @@
     tried: Vec<VmName>,
     /// Attempts that endpoints may have run or that failed, which count against the limits.
     counts: AttemptCounts,
-    last_id: Option<u64>,
+    order: EventOrder,
     has_events: bool,
     forwarded: Forwarded,
     /// The content type of the answer whose events were forwarded first.
@@ -118,7 +121,7 @@
 ) -> Result<Response<Body>, RequestFailure> {
     let mut reader = StreamReader {
         shared: shared.clone(),
-        last_id: request.last_event_id,
+        order: EventOrder::after(request.last_event_id),
         request,
         upstreams: Vec::new(),
         tried: Vec::new(),
@@ -193,7 +196,7 @@
         info!(self.shared.hub.log, "stream cut"; "kind" => "stream_cut",
             "request" => request.id_text(), "route" => %request.route.name, "outcome" => cause,
             "endpoint" => self.tried.last().map(|vm| vm.as_str().to_owned()),
-            "attempts" => self.tried.len(), "last_event_id" => self.last_id,
+            "attempts" => self.tried.len(), "last_event_id" => self.order.last_id(),
             "silent_ms" => now_ms().saturating_sub(self.timing.last_ms),
             "age_ms" => now_ms() - request.arrived_ms, "left_ms" => request.left_ms(),
             "dropped_lines" => dropped);
@@ -205,7 +208,7 @@
         let arrival = self.request.arrival(&self.tried, is_retry, self.has_events);
         let (shared, request) = (self.shared.clone(), self.request.clone());
         self.retry_at = None;
-        self.upstreams.push(Upstream::start(shared, request, arrival, self.last_id));
+        self.upstreams.push(Upstream::start(shared, request, arrival, self.order.last_id()));
     }
 
     /// Whether the route and the deadline allow another attempt beside the open ones.
@@ -459,12 +462,9 @@
                     break;
                 }
             }
-            match next_step(&event, self.last_id, &mut self.forwarded) {
-                Ok(EventStep::Forward) => {
-                    has_only_comments &= event.is_keep_alive;
-                    self.last_id = event.id.or(self.last_id);
-                }
-                Ok(EventStep::Skip) => continue,
+            match next_step(&event, &mut self.order, &mut upstream.order, &mut self.forwarded) {
+                Ok(Step::Next) => has_only_comments &= event.is_keep_alive,
+                Ok(Step::Known) => continue,
                 Err(fault) => {
                     upstream.fault = Some(fault);
                     break;
@@ -537,23 +537,17 @@
     }
 }
 
-/// What to do with an event.
-enum EventStep {
-    Forward,
-    /// The caller already has it.
-    Skip,
-}
-
 /// Checks that an event continues what the caller has. After events with ids, anything without one
 /// is an error text of the endpoint.
 fn next_step(
     event: &Event,
-    last_id: Option<u64>,
+    order: &mut EventOrder,
+    run: &mut RunOrder,
     forwarded: &mut Forwarded,
-) -> Result<EventStep, AttemptFailure> {
+) -> Result<Step, AttemptFailure> {
     let Some(id) = event.id else {
         if event.is_keep_alive {
-            return Ok(EventStep::Forward);
+            return Ok(Step::Next);
         }
         if *forwarded == Forwarded::Numbered {
             return Err(AttemptFailure::Faulty(
@@ -561,20 +555,13 @@
             ));
         }
         *forwarded = Forwarded::Unnumbered;
-        return Ok(EventStep::Forward);
+        return Ok(Step::Next);
     };
-    if let Some(last) = last_id {
-        if id <= last {
-            return Ok(EventStep::Skip);
-        }
-        if id != last + 1 {
-            return Err(AttemptFailure::Broken(format!("received event {id} after event {last}")));
-        }
-    }
-    if *forwarded == Forwarded::Nothing {
+    let step = order.advance(id, run).map_err(|e| AttemptFailure::Broken(e.to_string()))?;
+    if step == Step::Next && *forwarded == Forwarded::Nothing {
         *forwarded = Forwarded::Numbered;
     }
-    Ok(EventStep::Forward)
+    Ok(step)
 }
 
 /// Whether an answer has this content type, without regard to parameters such as the charset.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -12,6 +12,7 @@
 use balsam_fleet::event::AttemptOutcome;
 use balsam_http::Conn;
 use balsam_http::Reservation;
+use balsam_http::RunOrder;
 use balsam_http::Splitter;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_types::VmName;
@@ -100,6 +101,8 @@
     pub is_framed: bool,
     /// The bytes of the stream that were not taken yet.
     pub splitter: Splitter,
+    /// How far its events have come.
+    pub order: RunOrder,
     /// Comments that the caller gets with the next event of this attempt.
     pub held_back: BytesMut,
     /// Bytes since the last event with data.
@@ -117,13 +120,15 @@
 }
 
 impl Upstream {
-    /// Starts an attempt, which continues after an event if the caller has it.
+    /// Starts an attempt, which continues after an event if the caller has it, from the caller's own
+    /// request or from an earlier attempt.
     pub fn start(
         shared: Arc<Shared>,
         request: Arc<Request>,
         arrival: balsam_fleet::Arrival,
         last_event_id: Option<u64>,
     ) -> Self {
+        let order = RunOrder::new(arrival.has_partial_answer);
         let hub = shared.hub.clone();
         Self {
             shared,
@@ -135,6 +140,7 @@
             keep_alive: Duration::ZERO,
             is_framed: false,
             splitter: Splitter::default(),
+            order,
             held_back: BytesMut::new(),
             bytes_since_data: 0,
             memory: Reservation::default(),
--- a/crates/serve/src/answer.rs
+++ b/crates/serve/src/answer.rs
@@ -13,7 +13,9 @@
 
 use balsam_http::Conn;
 use balsam_http::Event;
+use balsam_http::EventOrder;
 use balsam_http::ReusableTimeout;
+use balsam_http::Step;
 use balsam_http::headers::remove_hop_by_hop;
 use balsam_route::loads::InFlight;
 use balsam_types::Outcome;
@@ -87,7 +89,7 @@
         is_silent: false,
         resumes: 0,
         break_cause: None,
-        last_event_id: None,
+        order: EventOrder::after(None),
         last_event_at: None,
         has_ended: false,
         has_sent_end: false,
@@ -138,7 +140,7 @@
     resumes: u32,
     /// Why the connections failed since the last event.
     break_cause: Option<String>,
-    last_event_id: Option<u64>,
+    order: EventOrder,
     last_event_at: Option<Instant>,
     has_ended: bool,
     has_sent_end: bool,
@@ -282,7 +284,7 @@
 
     fn may_resume(&self) -> bool {
         // Without ids, the endpoint would repeat the events that were already sent.
-        let has_place = self.last_event_at.is_none() || self.last_event_id.is_some();
+        let has_place = self.last_event_at.is_none() || self.order.last_id().is_some();
         let is_resumable = self.is_event_stream && self.stream_ref.is_some() && has_place;
         is_resumable && self.resumes < self.shared.options.max_resumes
     }
@@ -294,14 +296,14 @@
         self.progress_at = Instant::now();
         self.shared.metrics.resumes.add(1, &[]);
         let left = self.shared.time_left(self.deadline_ms);
-        let resuming = Source::resuming(self.shared.clone(), stream, self.last_event_id, left);
+        let resuming = Source::resuming(self.shared.clone(), stream, self.order.last_id(), left);
         self.sources.push(resuming);
     }
 
     /// Takes what the caller does not have yet from the bytes of a connection.
     fn take_part(&mut self, index: usize) -> Option<AnswerPart> {
         while let Some(event) = self.sources[index].splitter.next_event() {
-            match self.take_event(event) {
+            match self.take_event(index, event) {
                 Ok(Taken::Nothing) => {}
                 Ok(Taken::Comment(raw)) => return Some(AnswerPart::Data(raw)),
                 Ok(Taken::Event(raw)) => {
@@ -317,30 +319,25 @@
         None
     }
 
-    fn take_event(&mut self, event: Event) -> Result<Taken, String> {
+    fn take_event(&mut self, index: usize, event: Event) -> Result<Taken, String> {
         let is_text = event.id.is_none() && !event.is_keep_alive && !event.is_terminal;
-        if is_text && self.last_event_id.is_some() {
+        if is_text && self.order.last_id().is_some() {
             return Err("text without an id arrived after events with ids".to_owned());
         }
         if !event.has_data {
             // Once anything was sent to the caller, the request cannot be retried on another
             // endpoint, so comments before the first event are dropped.
-            return Ok(match self.last_event_id {
+            return Ok(match self.order.last_id() {
                 Some(_) => Taken::Comment(event.raw),
                 None => Taken::Nothing,
             });
         }
         if let Some(id) = event.id {
-            if self.last_event_id.is_some_and(|last| id <= last) {
-                return Ok(Taken::Nothing);
+            let run = &mut self.sources[index].order;
+            match self.order.advance(id, run).map_err(|e| e.to_string())? {
+                Step::Known => return Ok(Taken::Nothing),
+                Step::Next => self.resumes = 0,
             }
-            if let Some(last) = self.last_event_id
-                && id != last + 1
-            {
-                return Err(format!("event {id} arrived after event {last}"));
-            }
-            self.last_event_id = Some(id);
-            self.resumes = 0;
         }
         let now = Instant::now();
         if let Some(previous) = self.last_event_at.replace(now) {
--- a/crates/serve/src/source.rs
+++ b/crates/serve/src/source.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use balsam_http::Conn;
+use balsam_http::RunOrder;
 use balsam_http::SendError;
 use balsam_http::Splitter;
 use balsam_http::client::error_chain;
@@ -63,12 +64,15 @@
     stage: Stage,
     /// The bytes of an event stream that were not taken yet.
     pub splitter: Splitter,
+    /// How far its events have come.
+    pub order: RunOrder,
 }
 
 impl Source {
     /// Reads an answer whose head has arrived.
     pub fn reading(conn: Conn, body: Incoming) -> Self {
-        Self { stage: Stage::Reading(Box::new((conn, body))), splitter: Splitter::default() }
+        let stage = Stage::Reading(Box::new((conn, body)));
+        Self { stage, splitter: Splitter::default(), order: RunOrder::new(false) }
     }
 
     /// Resumes a stream on a new connection after an event; waits for the answer for `limit`.
@@ -79,7 +83,8 @@
         limit: Duration,
     ) -> Self {
         let resuming = async move { resume(&shared, &stream, after, limit).await };
-        Self { stage: Stage::Resuming(resuming.boxed()), splitter: Splitter::default() }
+        let (stage, order) = (Stage::Resuming(resuming.boxed()), RunOrder::new(after.is_some()));
+        Self { stage, splitter: Splitter::default(), order }
     }
 
     /// Returns the connection, unless a resume was not answered yet.
--- a/crates/serve/tests/serve/broken_answers.rs
+++ b/crates/serve/tests/serve/broken_answers.rs
@@ -125,6 +125,24 @@
     assert_eq!(requests.load(Ordering::Relaxed), 3);
 }
 
+/// Guards against streams that are cut because the ids of their events rise by more than one, as those
+/// of an engine that counts tokens do (review/10).
+#[tokio::test]
+async fn ids_may_rise_by_more_than_one() {
+    let begun = "id: 5\ndata: a\n\nid: 10\ndata: b\n\n";
+    let rest = "id: 15\ndata: c\n\nid: 17\ndata: [DONE]\n\n";
+    let (address, requests) = raw_endpoint(move |number| match number {
+        0 => broken_stream(begun),
+        _ => answer("200 OK", EVENT_STREAM, rest),
+    })
+    .await;
+    let harness = engine_harness(address).await;
+    let (text, is_complete) = read(harness.chat("m", 30).await).await;
+    assert!(is_complete, "{text}");
+    assert_eq!(text, format!("{begun}{rest}"));
+    assert_eq!(requests.load(Ordering::Relaxed), 2);
+}
+
 /// Guards against repeating events without ids, as the engine can't be told where to go on.
 #[tokio::test]
 async fn a_stream_without_ids_is_not_resumed() {
