Answers: take only statuses from 200 to 599 for an answer

Cause: the type of statuses holds numbers up to 999, and the client checked for interim statuses only. A stored response without a valid status was replayed as 200, and one passed on by another node was not checked.

Why this works: both paths, probes, orders and the store have one client. An answer without a valid final status closes the connection and counts as faulty, as other bytes that are no HTTP do.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -306,15 +307,24 @@
     }
 }
 
-/// Rejects a change of protocol, which no request asks for: no HTTP answer follows it.
+/// Returns a number as the status of a final answer; `None` if HTTP has no such status.
+///
+/// The type of statuses holds numbers up to 999, and a caller would take them for the endpoint's
+/// answer. See `docs/incidents/invalid-statuses.md`.
+pub fn final_status(number: u16) -> Option<StatusCode> {
+    StatusCode::from_u16(number).ok().filter(|_| (200..600).contains(&number))
+}
+
+/// Rejects a status that is none, and a change of protocol, which no request asks for: no HTTP answer
+/// follows it.
 fn final_response(
     conn: Conn,
     response: Response<Incoming>,
 ) -> Result<(Conn, Response<Incoming>), SendError> {
     conn.head_limit.lift();
-    if response.status().is_informational() {
+    let status = response.status();
+    if final_status(status.as_u16()).is_none() {
         let Conn { address, .. } = conn;
-        let status = response.status();
         return Err(SendError::Malformed(format!("endpoint {address}: it answered {status}")));
     }
     Ok((conn, response))
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,6 +21,7 @@
 pub use client::Conn;
 pub use client::Reuse;
 pub use client::SendError;
+pub use client::final_status;
 pub use event_order::EventOrder;
 pub use event_order::RunOrder;
 pub use event_order::Step;
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -7,6 +7,7 @@
 use balsam_agent::Event;
 use balsam_agent::effect::ClaimAnswer;
 use balsam_agent::event::ClaimSubmission;
+use balsam_http::final_status;
 use balsam_route::permit::DISPATCH_VALID_MS;
 use balsam_route::permit::PermitId;
 use balsam_route::permit::PermitReply;
@@ -223,7 +224,10 @@
     match next_event(&mut stream, &connection).await {
         Some(PbEvent::Head(head)) if head.attempt_id == forward.attempt_id => {
             let headers = headers_from_pb(head.headers).unwrap_or_default();
-            let status = u16::try_from(head.status).unwrap_or(502);
+            let Some(status) = u16::try_from(head.status).ok().and_then(final_status) else {
+                return outcome_unknown(format!("it passed on the status {}", head.status));
+            };
+            let status = status.as_u16();
             let source = ForwardedAnswer {
                 stream,
                 connection,
--- a/crates/serve/src/respond.rs
+++ b/crates/serve/src/respond.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use balsam_http::final_status;
 use balsam_types::Outcome;
 use balsam_types::StoredResponse;
 use bytes::Bytes;
@@ -50,10 +51,10 @@
 
 /// Returns the stored response of an earlier request with the same key.
 pub(crate) fn replay(stored: &StoredResponse) -> Response {
-    let mut response = match &stored.body {
-        Some(body) => {
+    let mut response = match (&stored.body, final_status(stored.status)) {
+        (Some(body), Some(status)) => {
             let mut response = Response::new(Body::Full(Full::new(Bytes::copy_from_slice(body))));
-            *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+            *response.status_mut() = status;
             if let Ok(value) = HeaderValue::from_str(&stored.content_type)
                 && !value.is_empty()
             {
@@ -61,7 +62,7 @@
             }
             response
         }
-        None => problem(&AttemptFailure::new(
+        _ => problem(&AttemptFailure::new(
             Outcome::Completed,
             ProblemKind::ResponseNotKept,
             format!("the first response had status {}", stored.status),
--- a/crates/serve/tests/serve/broken_answers.rs
+++ b/crates/serve/tests/serve/broken_answers.rs
@@ -143,6 +143,20 @@
     assert_eq!(requests.load(Ordering::Relaxed), 2);
 }
 
+/// A status that is none reached the caller as the endpoint's answer.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_valid_status_is_not_forwarded(
+    #[values("000 Odd", "099 Odd", "600 Odd", "999 Odd", "20 OK", "2000 OK", "", "abc OK")]
+    status: &'static str,
+) {
+    let whole = format!("{BEGUN}{REST}");
+    let (address, _) = raw_endpoint(move |_| answer(status, EVENT_STREAM, &whole)).await;
+    let harness = engine_harness(address).await;
+    let problem = problem(harness.chat("m", 30).await).await;
+    assert_eq!((&problem["status"], &problem["outcome"]), (&502.into(), &"unknown".into()));
+}
+
 /// Guards against repeating events without ids, as the engine can't be told where to go on.
 #[tokio::test]
 async fn a_stream_without_ids_is_not_resumed() {
--- a/crates/serve/tests/serve/keyed.rs
+++ b/crates/serve/tests/serve/keyed.rs
@@ -38,6 +38,20 @@
     assert_eq!(service.executions().len(), 1);
 }
 
+/// A stored number that is no status was replayed as 200, or as the endpoint's answer.
+#[rstest]
+#[tokio::test]
+async fn a_stored_response_without_a_valid_status_is_not_replayed(
+    #[values(0, 99, 600, 1000)] status: u16,
+) {
+    let harness = Harness::start(&[], &[]).await;
+    let stored = StoredResponse { status, content_type: "".into(), body: Some(b"x"[..].into()) };
+    *harness.fake_ports.claim.lock().unwrap() = ClaimDecision::Replay(stored);
+    let response = harness.order(Some("k1")).await;
+    let problem = problem(response).await;
+    assert_eq!((&problem["status"], &problem["outcome"]), (&409.into(), &"completed".into()));
+}
+
 /// Guards against withholding an answer because the log is unavailable.
 #[tokio::test]
 async fn answer_that_cannot_be_recorded_still_reaches_the_caller() {
