review/11: a priority above 255 keeps a whole version out of force

Cause: priority is read as an 8-bit number, and a value that does not fit makes the decoding of the whole version fail.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,7 +5,7 @@
 program=target/review-3/standin-3
 [ -x "$program" ] && [ -x target/release/balsamturn ] || exit 2
 set -m
-timeout 115 "$program" incomplete-entry target/release/balsamturn "review/11/record.txt" &
+timeout 115 "$program" priority target/release/balsamturn "review/11/record.txt" &
 trap 'kill -- -$! 2>/dev/null' EXIT
 wait $!
 code=$?
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the platform's store, of model runners and of requesters, which start the node
-//! processes of a small installation and check the rules TWO and DRAIN.
+//! processes of a small installation and check the rules TWO, DRAIN and CONFIG.
 //!
 //! Standard library only: `review/build-3.sh` compiles this file with `rustc`.
 //!
@@ -37,6 +37,8 @@
 const ZONES: [(&str, usize); 3] = [("muenchen", 3), ("augsburg", 2), ("ingolstadt", 1)];
 /// Runners per zone; they are one domain.
 const RUNNERS_PER_ZONE: usize = 8;
+/// Runners per zone in the case of late orders, so that a domain has three groups of two.
+const RUNNERS_PER_ZONE_LATE: usize = 10;
 /// The models: name, members, seconds of a load, seconds from the host.
 const MODELS: [(&str, usize, f64, f64); 2] = [("m-a", 4, 16.0, 1.6), ("m-b", 2, 12.0, 1.1)];
 const SERVICE: &str = "assistant";
@@ -47,6 +49,8 @@
 const PLAIN_WORK: Duration = Duration::from_millis(60);
 /// `drain_ms` of the settings.
 const DRAIN: Duration = Duration::from_millis(2_000);
+/// `config_apply_ms` of the settings.
+const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 /// Plain requests that requesters send in a second.
 const PLAIN_PER_S: u64 = 20;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -361,6 +365,15 @@
     state: Mutex<RunnerState>,
 }
 
+/// Orders of one runner to join that stay unanswered until the case carries them out.
+#[derive(Default)]
+struct Late {
+    /// The runners of which one may be chosen.
+    candidates: Mutex<Vec<String>>,
+    /// The runner, the group and the order, with the time of its arrival.
+    kept: Mutex<Vec<(String, String, String, Instant)>>,
+}
+
 struct Platform {
     store: Arc<Store>,
     log: Arc<Log>,
@@ -370,6 +383,10 @@
     joins: AtomicU64,
     /// The runners that began to run each request.
     runs: Mutex<HashMap<String, Vec<String>>>,
+    /// Orders that stay unanswered and are carried out late.
+    late: Late,
+    /// When the store accepted a version that takes `key-1` away and adds `key-2`.
+    key_changed: Mutex<Option<Instant>>,
 }
 
 /// Returns the value of a string field of a flat JSON object.
@@ -682,16 +699,73 @@
 }
 
 impl Platform {
+    /// Keeps an order to join back: the first one to a candidate that heads a new group, then the first that
+    /// orders the same runner into another group.
+    fn keeps_back(&self, runner: &str, order: &str) -> bool {
+        let is_join = text_field(order, "operation").as_deref() == Some("join");
+        if !is_join || !self.late.candidates.lock().unwrap().iter().any(|id| id == runner) {
+            return false;
+        }
+        let group = text_field(order, "group").unwrap_or_default();
+        let members = list_field(order, "members").unwrap_or_default();
+        let mut kept = self.late.kept.lock().unwrap();
+        let is_next = match kept.first() {
+            None => members.first().is_some_and(|head| head == runner),
+            Some((first, known, ..)) => kept.len() < 2 && first == runner && *known != group,
+        };
+        if is_next {
+            self.log.line(&format!("DISRUPTION: the join of {group} at {runner} stays unanswered"));
+            kept.push((runner.to_owned(), group, order.to_owned(), Instant::now()));
+        }
+        is_next
+    }
+
+    /// Carries out an order that was kept back.
+    fn carry_out(self: &Arc<Self>, index: usize) -> Result<(), String> {
+        let (id, group, order, at) = self.late.kept.lock().unwrap()[index].clone();
+        let after = at.elapsed();
+        if !(2.0..=12.0).contains(&after.as_secs_f64()) {
+            return Err(format!("an order would be carried out after {after:?}"));
+        }
+        self.log.line(&format!("the join of {group} at {id} is carried out {after:?} late"));
+        let runner = self.runner(&id).ok_or("the runner is gone")?;
+        runner.order(self, &order);
+        Ok(())
+    }
+
+    /// The name of the node that wrote the last record of the planner's topic.
+    fn planner(&self) -> Option<String> {
+        let topics = self.store.topics.lock().unwrap();
+        let record = String::from_utf8_lossy(topics.get("keyed.planner")?.last()?).into_owned();
+        let holder = text_field(&record, "holder")?;
+        Some(holder.rsplit_once('-')?.0.to_owned())
+    }
+
     fn note_run(&self, request: &str, runner: &str) {
         self.runs.lock().unwrap().entry(request.to_owned()).or_default().push(runner.to_owned());
     }
 
-    /// Records a request that has ended.
-    fn note_answer(&self, request: &str, sent: Instant, ip: Ipv4Addr, result: &str) {
+    /// The key of a request: after the change, the old one for even numbers and the new one for odd ones.
+    fn key(&self, number: u64) -> &'static str {
+        let is_changed = self.key_changed.lock().unwrap().is_some();
+        if is_changed && number % 2 == 1 { "key-2" } else { "key-1" }
+    }
+
+    /// Records a request that has ended, and checks the rule CONFIG.
+    fn note_answer(&self, request: &str, sent: Instant, ip: Ipv4Addr, key: &str, result: &str) {
         let runs = self.runs.lock().unwrap().get(request).cloned().unwrap_or_default();
+        let changed = *self.key_changed.lock().unwrap();
+        let is_bound = changed.is_some_and(|changed| sent >= changed + CONFIG_APPLY);
+        let is_old =
+            key == "key-1" && !runs.is_empty() || key == "key-2" && result.ends_with("401");
+        if is_bound && is_old {
+            self.violations.fetch_add(1, Ordering::Relaxed);
+            self.log.line(&format!("BROKEN CONFIG: {request} with {key}"));
+        }
         let sent = sent.duration_since(self.log.begun).as_secs_f64();
         let runs = runs.join(",");
-        self.log.line(&format!("{request} sent {sent:.3} to {ip}: {result}; run by {runs}"));
+        self.log
+            .line(&format!("{request} sent {sent:.3} to {ip} with {key}: {result}; run by {runs}"));
     }
 
     fn runner(&self, id: &str) -> Option<Arc<Runner>> {
@@ -733,6 +807,10 @@
                 _ if path.starts_with("/desk/") => runner.run_plain(&platform, &message, stream),
                 "/order" => {
                     let body = String::from_utf8_lossy(&message.body).into_owned();
+                    if platform.keeps_back(&runner.id, &body) {
+                        thread::sleep(Duration::from_secs(2));
+                        return false;
+                    }
                     let status = runner.order(&platform, &body);
                     answer(stream, status, "", b"")
                 }
@@ -798,7 +876,9 @@
 // ---------------------------------------------------------------------------------------------
 // The installation
 
-fn configuration() -> String {
+const FIRST_TENANTS: &str = "{\"name\":\"club\",\"api_keys\":[\"key-1\"],\"priority\":1}";
+
+fn configuration(version: u64, tenants: &str) -> String {
     let models = MODELS.iter().map(|(name, size, load_s, warm_s)| {
         format!(
             "{{\"name\":\"{name}\",\"size\":{size},\"share\":0.5,\"pace\":1.0,\"load_s\":{load_s:.1},\
@@ -807,7 +887,7 @@
     });
     let models = models.collect::<Vec<_>>().join(",");
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"hostname\":\"crew.example\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"hostname\":\"crew.example\",\
          \"path_prefix\":\"/plan/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\
          \"target_latency_ms\":400,\"priority\":1,\"service\":\"{SERVICE}\",\"max_attempts\":2,\
          \"public\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}},\
@@ -828,7 +908,7 @@
          {{\"name\":\"{PLAIN_SERVICE}\",\"health_path\":\"/health\",\"max_connections\":96,\
          \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"club\",\"api_keys\":[\"key-1\"],\"priority\":1}}]}}"
+         \"tenants\":[{tenants}]}}"
     )
 }
 
@@ -862,11 +942,39 @@
 
 /// The node processes and their folder, which end with the case.
 struct Nodes {
+    names: Vec<String>,
     children: Vec<Child>,
+    program: String,
     folder: PathBuf,
     ips: Vec<Ipv4Addr>,
 }
 
+impl Nodes {
+    fn spawn(&self, name: &str) -> std::io::Result<Child> {
+        let path = self.folder.join(format!("{name}.toml"));
+        let log = self.folder.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(log)?;
+        Command::new(&self.program)
+            .arg("platform")
+            .env("BALSAMTURN_NODE_FILE", &path)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+    }
+
+    /// Kills a node, which starts again after half a second.
+    fn kill(&mut self, name: &str) -> Result<(), String> {
+        let index = self.names.iter().position(|known| known == name);
+        let index = index.ok_or(format!("there is no node {name}"))?;
+        let _ = self.children[index].kill();
+        let _ = self.children[index].wait();
+        thread::sleep(Duration::from_millis(500));
+        self.children[index] = self.spawn(name).map_err(|error| error.to_string())?;
+        Ok(())
+    }
+}
+
 impl Drop for Nodes {
     fn drop(&mut self) {
         for child in &mut self.children {
@@ -885,7 +993,13 @@
 fn start_nodes(program: &str, store: SocketAddr) -> std::io::Result<Nodes> {
     let folder = std::env::temp_dir().join(format!("standin-3-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
-    let mut nodes = Nodes { children: Vec::new(), folder, ips: Vec::new() };
+    let mut nodes = Nodes {
+        names: Vec::new(),
+        children: Vec::new(),
+        program: program.to_owned(),
+        folder,
+        ips: Vec::new(),
+    };
     let first = std::process::id() % 200 + 20;
     let candidates = (0..u32::from(u8::MAX) * 250).map(|number| {
         let (third, fourth) = (first + number / 250, number % 250 + 1);
@@ -900,14 +1014,8 @@
             let (name, ip) = (format!("front-{zone}-{number}"), ips.next().unwrap());
             let path = nodes.folder.join(format!("{name}.toml"));
             std::fs::write(&path, settings(&name, ip, zone, &seeds, store))?;
-            let output = File::create(nodes.folder.join(format!("{name}.log")))?;
-            let child = Command::new(program)
-                .arg("platform")
-                .env("BALSAMTURN_NODE_FILE", &path)
-                .stdin(Stdio::null())
-                .stdout(output.try_clone()?)
-                .stderr(output)
-                .spawn()?;
+            let child = nodes.spawn(&name)?;
+            nodes.names.push(name);
             nodes.children.push(child);
         }
     }
@@ -926,13 +1034,13 @@
 }
 
 /// What became of a plain request.
-fn send_plain(ip: Ipv4Addr, number: u64) -> &'static str {
+fn send_plain(ip: Ipv4Addr, number: u64, key: &str) -> &'static str {
     let Ok(mut stream) = TcpStream::connect((ip, CALLERS_PORT)) else { return "no channel" };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
     let (method, path) = if number % 2 == 0 { ("GET", "read") } else { ("POST", "book") };
     let request = format!(
         "{method} /desk/{path}/x HTTP/1.1\r\nHost: crew.example\r\nX-Request-Id: p{number:012x}\r\n\
-         X-Time-Budget: 1500\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\
+         X-Time-Budget: 1500\r\nAuthorization: Bearer {key}\r\nContent-Length: 0\r\n\
          Connection: close\r\n\r\n"
     );
     if stream.write_all(request.as_bytes()).is_err() {
@@ -942,19 +1050,20 @@
         None => "plain: no whole answer",
         Some(message) if message.first_line.contains(" 200") => "plain: whole",
         Some(message) if message.first_line.contains(" 503") => "plain: 503",
+        Some(message) if message.first_line.contains(" 401") => "plain: 401",
         Some(_) => "plain: other status",
     }
 }
 
 /// What became of a stream.
-fn send_stream(ip: Ipv4Addr, number: u64) -> &'static str {
+fn send_stream(ip: Ipv4Addr, number: u64, key: &str) -> &'static str {
     let Ok(mut stream) = TcpStream::connect((ip, CALLERS_PORT)) else { return "no channel" };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(9)));
     let model = MODELS[number as usize % 2].0;
     let request = format!(
         "POST /plan/x HTTP/1.1\r\nHost: crew.example\r\nX-Request-Id: q{number:012x}\r\n\
          X-Model-Name: {model}\r\nX-Token-Count: 900,150\r\nX-Prompt-Prefix: 5c1e07a2:40,{:x}:860\r\n\
-         X-Time-Budget: 8000\r\nAuthorization: Bearer key-1\r\nContent-Length: 5\r\n\
+         X-Time-Budget: 8000\r\nAuthorization: Bearer {key}\r\nContent-Length: 5\r\n\
          Connection: close\r\n\r\nentry",
         number + 0x1000_0000
     );
@@ -964,9 +1073,11 @@
     let mut reader = BufReader::new(stream);
     match read_message(&mut reader) {
         None => "no whole answer",
-        Some(message) if !message.first_line.contains(" 200") => {
-            if message.first_line.contains(" 503") { "503" } else { "other status" }
-        }
+        Some(message) if !message.first_line.contains(" 200") => match &message.first_line {
+            line if line.contains(" 503") => "503",
+            line if line.contains(" 401") => "401",
+            _ => "other status",
+        },
         Some(message) => {
             let complete: String =
                 (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect();
@@ -992,8 +1103,10 @@
             let platform = plain_platform.clone();
             thread::spawn(move || {
                 let sent = Instant::now();
-                let result = send_plain(ip, number);
-                platform.note_answer(&format!("p{number:012x}"), sent, ip, result);
+                // Both keys are used by either kind of request.
+                let key = platform.key(number / 2);
+                let result = send_plain(ip, number, key);
+                platform.note_answer(&format!("p{number:012x}"), sent, ip, key, result);
                 *counts.lock().unwrap().entry(result).or_default() += 1;
             });
         }
@@ -1009,8 +1122,9 @@
             let platform = stream_platform.clone();
             thread::spawn(move || {
                 let sent = Instant::now();
-                let result = send_stream(ip, number);
-                platform.note_answer(&format!("q{number:012x}"), sent, ip, result);
+                let key = platform.key(1);
+                let result = send_stream(ip, number, key);
+                platform.note_answer(&format!("q{number:012x}"), sent, ip, key, result);
                 *counts.lock().unwrap().entry(result).or_default() += 1;
             });
         }
@@ -1021,25 +1135,6 @@
 // ---------------------------------------------------------------------------------------------
 // The disruptions
 
-/// Another writer repeats the newest entry of a head; the fields `cold_remaining_ms`, `stage`,
-/// `models`, `staged` and `group` are missing.
-fn write_incomplete(platform: &Platform) -> bool {
-    let Some(head) = platform.open_head() else { return false };
-    let state = head.state.lock().unwrap();
-    let entry = format!(
-        "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-         \"slots\":{SLOTS},\"state\":\"ready\",\"domain\":\"{}-0\",\"born\":{},\"sequence\":{}}}",
-        head.address,
-        head.zone,
-        head.zone,
-        head.born.load(Ordering::Relaxed),
-        state.beats,
-    );
-    platform.log.line(&format!("DISRUPTION: another writer puts servers/{}: {entry}", head.id));
-    platform.store.put("keyed.servers", &head.id, &entry);
-    true
-}
-
 /// Runners of a service that the configuration does not name register. They are members of a group of
 /// another installation, which has the name and the epoch of one of this installation, as both
 /// count from the same number. A few seconds later its head drains.
@@ -1114,6 +1209,101 @@
     });
 }
 
+/// Three heads of groups of two drain, as planned. With the disruption, an order to join that the other
+/// members are to form a group with stays unanswered, the planning node is killed, and the same again
+/// with its successor; both orders are carried out late, the older one first.
+fn drain_heads(
+    platform: &Arc<Platform>,
+    nodes: &mut Nodes,
+    has_trouble: bool,
+) -> Result<(), String> {
+    let runners = platform.runners.lock().unwrap().clone();
+    let is_head = |runner: &&Arc<Runner>| {
+        let state = runner.state.lock().unwrap();
+        let membership = state.membership.as_ref();
+        runner.zone == ZONES[0].0
+            && membership.is_some_and(|m| m.rank == 0 && m.state == "open" && m.members.len() == 2)
+    };
+    let heads: Vec<Arc<Runner>> = runners.iter().filter(is_head).cloned().collect();
+    if heads.len() < 3 {
+        return Err(format!("{} groups of two are open", heads.len()));
+    }
+    if has_trouble {
+        let member = |head: &Arc<Runner>| {
+            head.state.lock().unwrap().membership.as_ref().map(|m| m.members[1].clone())
+        };
+        *platform.late.candidates.lock().unwrap() = heads[..2].iter().filter_map(member).collect();
+    }
+    drain(platform, &heads[0]);
+    drain(platform, &heads[1]);
+    if !has_trouble {
+        thread::sleep(Duration::from_secs(2));
+        drain(platform, &heads[2]);
+        return Ok(());
+    }
+    wait_until("a join is unanswered", || platform.late.kept.lock().unwrap().len() == 1)?;
+    thread::sleep(Duration::from_millis(50));
+    let planner = platform.planner().ok_or("no node plans")?;
+    platform.log.line(&format!("DISRUPTION: {planner} is killed"));
+    nodes.kill(&planner)?;
+    drain(platform, &heads[2]);
+    wait_until("another join is unanswered", || platform.late.kept.lock().unwrap().len() == 2)?;
+    thread::sleep(Duration::from_millis(50));
+    let planner = platform.planner().ok_or("no node plans")?;
+    platform.log.line(&format!("DISRUPTION: {planner} is killed"));
+    nodes.kill(&planner)?;
+    platform.carry_out(0)?;
+    let (id, group, ..) = platform.late.kept.lock().unwrap()[0].clone();
+    let runner = platform.runner(&id).ok_or("the runner is gone")?;
+    let opened = wait_until("the older group is open", || {
+        let state = runner.state.lock().unwrap();
+        state.membership.as_ref().is_some_and(|m| m.group == group && m.state == "open")
+    });
+    if let Err(error) = opened {
+        platform.log.line(&error);
+    }
+    thread::sleep(Duration::from_millis(500));
+    platform.carry_out(1)
+}
+
+/// A runner leaves as planned: it reports that it drains, and its entry is removed later.
+fn drain(platform: &Arc<Platform>, runner: &Arc<Runner>) {
+    let mut state = runner.state.lock().unwrap();
+    state.is_draining = true;
+    runner.beat(platform, &mut state);
+    platform.log.line(&format!("runner {} is draining", runner.id));
+    let (platform, runner) = (platform.clone(), runner.clone());
+    thread::spawn(move || {
+        thread::sleep(4 * DRAIN);
+        runner.is_down.store(true, Ordering::Relaxed);
+        platform.store.put("keyed.servers", &runner.id, "");
+        platform.log.line(&format!("runner {} has left", runner.id));
+    });
+}
+
+fn wait_until(what: &str, is_met: impl Fn() -> bool) -> Result<(), String> {
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(9) {
+        if is_met() {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    Err(format!("not within 9 s: {what}"))
+}
+
+/// The operator changes the configuration: `key-1` is taken away, `key-2` is added, and there is another
+/// tenant, which has this priority.
+fn change_keys(platform: &Platform, priority: u64) {
+    let tenants = format!(
+        "{{\"name\":\"club\",\"api_keys\":[\"key-2\"],\"priority\":1}},\
+         {{\"name\":\"crews\",\"api_keys\":[\"key-3\"],\"priority\":{priority}}}"
+    );
+    platform.store.put("keyed.op", "config", &configuration(9, &tenants));
+    *platform.key_changed.lock().unwrap() = Some(Instant::now());
+    platform.log.line(&format!("the operator writes version 9 with the tenants {tenants}"));
+}
+
 fn run(case: &str, program: &str, log: Arc<Log>) -> Result<bool, String> {
     let store = Arc::new(Store::default());
     let handler = store.clone();
@@ -1128,10 +1318,13 @@
         violations: AtomicU64::new(0),
         joins: AtomicU64::new(0),
         runs: Mutex::default(),
+        late: Late::default(),
+        key_changed: Mutex::default(),
     });
-    store.put("keyed.op", "config", &configuration());
+    store.put("keyed.op", "config", &configuration(7, FIRST_TENANTS));
+    let runners = if case == "late-joins" { RUNNERS_PER_ZONE_LATE } else { RUNNERS_PER_ZONE };
     for (zone, _) in ZONES {
-        for number in 0..RUNNERS_PER_ZONE {
+        for number in 0..runners {
             let id = format!("i-{}{number:07x}", &zone[..1]);
             platform.add_runner(id, SERVICE, zone, None);
         }
@@ -1140,7 +1333,7 @@
         platform.add_runner(format!("i-p{}000000", &zone[..1]), PLAIN_SERVICE, zone, None);
     }
     let begun = Instant::now();
-    let nodes = start_nodes(program, address).map_err(|error| format!("nodes: {error}"))?;
+    let mut nodes = start_nodes(program, address).map_err(|error| format!("nodes: {error}"))?;
     thread::sleep(LEAD.saturating_sub(begun.elapsed()));
     let ready = nodes.ips.iter().filter(|ip| is_ready(**ip)).count();
     log.line(&format!(
@@ -1159,11 +1352,14 @@
         log.line("the rule was broken before the disruption");
     }
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    if case == "clock-of-a-runner" {
+    if case == "late-joins" {
+        drain_heads(&platform, &mut nodes, has_trouble)?;
+    } else if case == "clock-of-a-runner" {
         start_again(&platform, if has_trouble { 2_000 } else { 0 });
+    } else if case == "priority" {
+        change_keys(&platform, if has_trouble { 1_000 } else { 9 });
     } else if has_trouble {
         let is_done = match case {
-            "incomplete-entry" => write_incomplete(&platform),
             "other-service" => start_other_service(&platform),
             _ => return Err(format!("there is no case {case}")),
         };
