review: case 15, a version without tenants lets requests with any key run

Cause, as far as known: platform/src/configuration.rs takes an empty list of tenants for a configuration that needs no keys.

Cases 11 to 14 use the code as before.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the platform's store, of model runners and of requesters, which start the node
-//! processes of a small installation and check the rules TWO, DRAIN and CONFIG.
+//! processes of a small installation and check the rules TWO, DRAIN, CONFIG and ROUTE.
 //!
 //! Standard library only: `review/build-3.sh` compiles this file with `rustc`.
 //!
@@ -387,6 +387,8 @@
     late: Late,
     /// When the store accepted a version that takes `key-1` away and adds `key-2`.
     key_changed: Mutex<Option<Instant>>,
+    /// Whether half of the requests have `key-2`, which no version ever holds.
+    has_unknown_keys: bool,
 }
 
 /// Returns the value of a string field of a flat JSON object.
@@ -746,18 +748,23 @@
     }
 
     /// The key of a request: after the change, the old one for even numbers and the new one for odd ones.
+    /// A key that no version holds is used from the beginning.
     fn key(&self, number: u64) -> &'static str {
-        let is_changed = self.key_changed.lock().unwrap().is_some();
-        if is_changed && number % 2 == 1 { "key-2" } else { "key-1" }
+        let is_used = self.has_unknown_keys || self.key_changed.lock().unwrap().is_some();
+        if is_used && number % 2 == 1 { "key-2" } else { "key-1" }
     }
 
-    /// Records a request that has ended, and checks the rule CONFIG.
+    /// Records a request that has ended, and checks the rules CONFIG and ROUTE.
     fn note_answer(&self, request: &str, sent: Instant, ip: Ipv4Addr, key: &str, result: &str) {
         let runs = self.runs.lock().unwrap().get(request).cloned().unwrap_or_default();
         let changed = *self.key_changed.lock().unwrap();
         let is_bound = changed.is_some_and(|changed| sent >= changed + CONFIG_APPLY);
-        let is_old =
-            key == "key-1" && !runs.is_empty() || key == "key-2" && result.ends_with("401");
+        if self.has_unknown_keys && key == "key-2" && !runs.is_empty() {
+            self.violations.fetch_add(1, Ordering::Relaxed);
+            self.log.line(&format!("BROKEN ROUTE: {request} with {key}"));
+        }
+        let is_refused = !self.has_unknown_keys && key == "key-2" && result.ends_with("401");
+        let is_old = key == "key-1" && !runs.is_empty() || is_refused;
         if is_bound && is_old {
             self.violations.fetch_add(1, Ordering::Relaxed);
             self.log.line(&format!("BROKEN CONFIG: {request} with {key}"));
@@ -1112,6 +1119,7 @@
         }
     });
     let (ips, counts) = (ips.to_vec(), results.clone());
+    let nodes = ips.len() as u64;
     platform.has_traffic.store(true, Ordering::Relaxed);
     thread::spawn(move || {
         let begun = Instant::now();
@@ -1122,7 +1130,8 @@
             let platform = stream_platform.clone();
             thread::spawn(move || {
                 let sent = Instant::now();
-                let key = platform.key(1);
+                // All streams have the new key, or each node gets half of them with the unknown one.
+                let key = platform.key(if platform.has_unknown_keys { number / nodes } else { 1 });
                 let result = send_stream(ip, number, key);
                 platform.note_answer(&format!("q{number:012x}"), sent, ip, key, result);
                 *counts.lock().unwrap().entry(result).or_default() += 1;
@@ -1304,6 +1313,18 @@
     platform.log.line(&format!("the operator writes version 9 with the tenants {tenants}"));
 }
 
+/// The operator takes all keys away: with the disruption by a version whose list of tenants is empty,
+/// and without it by one that has another tenant in place of the first.
+fn remove_keys(platform: &Platform, has_trouble: bool) {
+    let tenants = match has_trouble {
+        true => "",
+        false => "{\"name\":\"crews\",\"api_keys\":[\"key-3\"],\"priority\":1}",
+    };
+    platform.store.put("keyed.op", "config", &configuration(9, tenants));
+    *platform.key_changed.lock().unwrap() = Some(Instant::now());
+    platform.log.line(&format!("the operator writes version 9 with the tenants [{tenants}]"));
+}
+
 fn run(case: &str, program: &str, log: Arc<Log>) -> Result<bool, String> {
     let store = Arc::new(Store::default());
     let handler = store.clone();
@@ -1320,6 +1341,7 @@
         runs: Mutex::default(),
         late: Late::default(),
         key_changed: Mutex::default(),
+        has_unknown_keys: case == "no-tenants",
     });
     store.put("keyed.op", "config", &configuration(7, FIRST_TENANTS));
     let runners = if case == "late-joins" { RUNNERS_PER_ZONE_LATE } else { RUNNERS_PER_ZONE };
@@ -1358,6 +1380,8 @@
         start_again(&platform, if has_trouble { 2_000 } else { 0 });
     } else if case == "priority" {
         change_keys(&platform, if has_trouble { 1_000 } else { 9 });
+    } else if case == "no-tenants" {
+        remove_keys(&platform, has_trouble);
     } else if has_trouble {
         let is_done = match case {
             "other-service" => start_other_service(&platform),
