Configuration: no number keeps a version out of force

What callers saw: a version that the store had accepted never took effect, because a tenant in it has the priority 1000.

Cause: the decoder read the whole version into fixed types, and one field that did not fit its type or a bound of this system made it return an error for all of it. The log line of each node names the field.

Why this works: each field is read by itself, and a number is any JSON number whose conversion cannot fail, so no number can take a version out of force. A priority keeps its order as a double up to the order of waiting requests. A value that is no number takes only its own part out of use: its requests are refused at once with 503, a tenant with an odd priority keeps its keys, an engine that cannot be read never counts as a plain service. A line `configuration_fault`, which is also counted, names version, part, field and value.

--- a/crates/fleet/benches/placement.rs
+++ b/crates/fleet/benches/placement.rs
@@ -33,6 +33,7 @@
 use balsam_fleet::placement;
 use balsam_fleet::placement::Candidate;
 use balsam_fleet::placement::pass_ms;
+use balsam_fleet::priority::Priority;
 use balsam_fleet::reduce;
 use balsam_types::DataCentreName;
 use balsam_types::FabricDomainName;
@@ -160,6 +161,7 @@
         organisations: HashMap::new(),
         requires_key: false,
         limits: CallerLimits::default(),
+        faults: Vec::new(),
     }
 }
 
@@ -225,7 +227,7 @@
         answer_tokens: hint.min(max_answer_tokens),
         answer_hint_tokens: Some(hint),
         max_answer_tokens,
-        priority: 1,
+        priority: Priority::from(1),
         arrived_ms: now_ms,
         first_event_by_ms: now_ms + 2_400,
         deadline_at_ms: now_ms + DEADLINE_MS,
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -13,6 +13,8 @@
 use balsam_types::PoolName;
 use balsam_types::RouteName;
 
+use crate::priority::Priority;
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
@@ -28,6 +30,19 @@
     pub requires_key: bool,
     /// The limits for callers.
     pub limits: CallerLimits,
+    /// The values that could not be understood. Only the parts that need them are not in force.
+    pub faults: Vec<ConfigurationFault>,
+}
+
+/// A value of a configuration that cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigurationFault {
+    /// The part that the value belongs to.
+    pub part: Arc<str>,
+    /// The field.
+    pub field: &'static str,
+    /// The value, or what it is if it may contain the key of a caller.
+    pub value: String,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -58,10 +73,11 @@
 /// A customer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Organisation {
-    /// Its name, which is passed to endpoints.
-    pub name: OrganisationName,
+    /// Its name, which is passed to endpoints; `None` if it cannot be understood, in which case its
+    /// requests are refused.
+    pub name: Option<OrganisationName>,
     /// Its priority, which overrides that of the route.
-    pub priority: Option<u8>,
+    pub priority: Option<Priority>,
 }
 
 /// Whether requests of a route may be repeated, and whether the answer is a stream of events.
@@ -102,9 +118,9 @@
     pub target_ms: u64,
     /// The longest pause between events that the operators want; for the log only.
     pub gap_target_ms: u64,
-    /// The priority; 0 is served first.
-    pub priority: u8,
-    /// The pools and their weights.
+    /// The priority; the lowest is served first.
+    pub priority: Priority,
+    /// The pools and their weights. Requests are refused if there are none.
     pub split: Vec<(PoolName, u32)>,
     /// Maximum number of endpoints that one request is sent to.
     pub max_attempts: u32,
@@ -212,7 +228,7 @@
 }
 
 impl Route {
-    /// Chooses the pool of a request by weight; `draw` is uniform in 0 to 1.
+    /// Chooses the pool of a request by weight, if there is one; `draw` is uniform in 0 to 1.
     pub fn pool(&self, draw: f64) -> Option<&PoolName> {
         let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
         let mut remaining = draw * total;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -16,6 +16,7 @@
 
 use crate::configuration::CallerLimits;
 use crate::configuration::Configuration;
+use crate::configuration::ConfigurationFault;
 use crate::demand::BusyGroups;
 use crate::directory::ListChange;
 pub use crate::head_evidence::HeadVerdict;
@@ -23,6 +24,7 @@
 use crate::operators::OperatorsReport;
 use crate::operators::OperatorsUpdate;
 use crate::position::StorePosition;
+use crate::priority::Priority;
 use crate::quarantine::Blamed;
 use crate::quarantine::QuarantineReport;
 use crate::quarantine::SegmentEvidence;
@@ -165,8 +167,8 @@
     pub answer_hint_tokens: Option<u32>,
     /// Maximum number of tokens in the answer.
     pub max_answer_tokens: u32,
-    /// The priority; 0 is served first.
-    pub priority: u8,
+    /// The priority; the lowest is served first.
+    pub priority: Priority,
     /// When the caller sent the request.
     pub arrived_ms: u64,
     /// When the caller leaves if its answer has not begun; the deadline, unless the answer is a stream.
@@ -578,6 +580,13 @@
         /// Its limits for callers.
         limits: CallerLimits,
     },
+    /// A part of the configuration that took effect cannot be used as it was written.
+    ConfigurationFault {
+        /// The version.
+        version: u64,
+        /// The part and the value that cannot be understood.
+        fault: ConfigurationFault,
+    },
     /// The operators evacuated a data centre or returned it to service.
     Evacuation {
         /// The data centre.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod planner;
 pub mod position;
+pub mod priority;
 pub mod quarantine;
 pub mod reachability;
 mod reduce;
--- a/crates/fleet/src/reduce.rs
+++ b/crates/fleet/src/reduce.rs
@@ -143,6 +143,10 @@
     }
     let (version, limits) = (configuration.version, configuration.limits);
     effects.push(Effect::LogDecision(Decision::Configuration { version, limits }));
+    let faults = configuration.faults.iter().cloned();
+    effects.extend(
+        faults.map(|fault| Effect::LogDecision(Decision::ConfigurationFault { version, fault })),
+    );
     fleet.serving = Serving::new(&fleet.directory, &configuration);
     fleet.configuration = Some(configuration);
 }
--- a/crates/fleet/src/waiting.rs
+++ b/crates/fleet/src/waiting.rs
@@ -11,6 +11,7 @@
 
 use crate::event::Arrival;
 use crate::event::AttemptId;
+use crate::priority::Priority;
 use crate::serving::RequestKind;
 use crate::waiting::shares::Shares;
 pub use crate::waiting::usual::UsualTime;
@@ -204,7 +205,7 @@
 struct Rank {
     /// Whether it begins an answer; a caller that has part of one gets the rest first.
     is_new: bool,
-    priority: u8,
+    priority: Priority,
     /// Work that its organisation received recently.
     granted_ms: u64,
     /// Its caller has waited since then.
--- a/crates/fleet/tests/fleet/admission.rs
+++ b/crates/fleet/tests/fleet/admission.rs
@@ -11,6 +11,7 @@
 use balsam_fleet::Refusal;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::AttemptOutcome;
+use balsam_fleet::priority::Priority;
 use balsam_fleet::reduce;
 use balsam_types::OrganisationName;
 use balsam_types::PoolName;
@@ -222,8 +223,12 @@
     for attempt_id in 100..300 {
         reduce(&mut fleet, 1_010, Event::Arrive(arrival(attempt_id, 1_010)));
     }
-    let partial =
-        Arrival { priority: 0, is_retry: true, has_partial_answer: true, ..arrival(200, 1_020) };
+    let partial = Arrival {
+        priority: Priority::from(0),
+        is_retry: true,
+        has_partial_answer: true,
+        ..arrival(200, 1_020)
+    };
     assert!(refusals(&reduce(&mut fleet, 1_020, Event::Arrive(partial))).is_empty());
     let outcome = AttemptOutcome::Answered;
     let effects = reduce(&mut fleet, 1_030, Event::Ended { attempt_id: 1, outcome });
--- a/crates/fleet/tests/fleet/admission_replay.rs
+++ b/crates/fleet/tests/fleet/admission_replay.rs
@@ -13,6 +13,7 @@
 use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::event::SentRequest;
 use balsam_fleet::placement;
+use balsam_fleet::priority::Priority;
 use balsam_fleet::reduce;
 use balsam_types::OrganisationName;
 use balsam_types::VmName;
@@ -425,7 +426,7 @@
             organisation: Some(OrganisationName::try_from(name.as_str()).unwrap()),
             prompt_tokens: request.size,
             answer_tokens: request.answer_tokens,
-            priority: request.priority,
+            priority: Priority::from(request.priority),
             first_event_by_ms: request.needed_by_ms.min(now_ms + STAYS_MS),
             deadline_at_ms: request.needed_by_ms,
             is_retry: self.scenario.marks_repeats && attempt_id.is_multiple_of(10),
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -17,6 +17,7 @@
 use balsam_fleet::configuration::PoolConfig;
 use balsam_fleet::endpoint::MemberState;
 use balsam_fleet::endpoint::Membership;
+use balsam_fleet::priority::Priority;
 use balsam_types::DataCentreName;
 use balsam_types::FabricDomainName;
 use balsam_types::GroupName;
@@ -94,6 +95,7 @@
         organisations: HashMap::new(),
         requires_key: false,
         limits: CallerLimits::default(),
+        faults: Vec::new(),
     }
 }
 
@@ -148,7 +150,7 @@
         answer_tokens: 170,
         answer_hint_tokens: Some(170),
         max_answer_tokens: 400,
-        priority: 1,
+        priority: Priority::from(1),
         arrived_ms: now_ms,
         first_event_by_ms: now_ms + 2_400,
         deadline_at_ms: now_ms + 8_000,
--- a/crates/fleet/tests/fleet/waiting.rs
+++ b/crates/fleet/tests/fleet/waiting.rs
@@ -12,6 +12,7 @@
 use balsam_fleet::event::AttemptOutcome;
 use balsam_fleet::event::RefuseReason;
 use balsam_fleet::operators::OperatorsUpdate;
+use balsam_fleet::priority::Priority;
 use balsam_fleet::reduce;
 use rstest::rstest;
 
@@ -65,7 +66,7 @@
     let mut fleet = full_group();
     let hasty = Arrival { first_event_by_ms: 2_000, deadline_at_ms: 3_000, ..arrival(101, 1_020) };
     let repeated = Arrival { arrived_ms: 1_005, is_retry: true, ..arrival(102, 1_030) };
-    let urgent = Arrival { priority: 0, ..arrival(103, 1_040) };
+    let urgent = Arrival { priority: Priority::from(0), ..arrival(103, 1_040) };
     for request in [arrival(100, 1_010), hasty, repeated, urgent] {
         let (attempt_id, now_ms) = (request.attempt_id, 1_040);
         assert_eq!(refused(&reduce(&mut fleet, now_ms, Event::Arrive(request)), attempt_id), None);
@@ -76,6 +77,23 @@
     }
 }
 
+/// Guards against priorities that lose their place because they are far apart, as two of them would at
+/// the bound of a smaller type.
+#[test]
+fn a_priority_keeps_its_place_whatever_its_size() {
+    let mut fleet = full_group();
+    let priorities = [1_000.0, 255.0, 1e300, 300.0, 0.5];
+    for (attempt_id, priority) in (100..).zip(priorities) {
+        let priority = Priority::from(priority);
+        let request = Arrival { priority, ..arrival(attempt_id, 1_010) };
+        reduce(&mut fleet, 1_040, Event::Arrive(request));
+    }
+    for (ended, next) in [(1, 104), (2, 101), (3, 103), (4, 100), (5, 102)] {
+        let ended = Event::Ended { attempt_id: ended, outcome: AttemptOutcome::Answered };
+        assert!(dispatched(&reduce(&mut fleet, 1_050, ended), next).is_some(), "{next}");
+    }
+}
+
 /// Guards against holding a request whose caller leaves before it would be served, and against
 /// refusing one that would have been; a second run is no different.
 #[rstest]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -292,7 +292,7 @@
     headers.insert(dialect.time_budget.clone(), HeaderValue::from(request.left_ms()));
     headers.insert(dialect.expected_endpoint.clone(), header_value(target.vm.as_str())?);
     if let Some(organisation) = &request.organisation {
-        let name = header_value(organisation.name.as_str())?;
+        let name = header_value(organisation.name.as_ref()?.as_str())?;
         headers.insert(dialect.organisation.clone(), name);
     }
     if let Some(id) = last_event_id {
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -8,6 +8,7 @@
 use balsam_fleet::quarantine::Blamed;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 
 use crate::clock::now_ms;
 
@@ -94,6 +95,11 @@
                 "header_timeout_ms" => limits.header_timeout_ms,
                 "idle_timeout_ms" => limits.idle_timeout_ms, "dropped_lines" => dropped);
         }
+        Decision::ConfigurationFault { version, fault } => {
+            warn!(log, "part of the configuration cannot be used"; "kind" => kind,
+                "version" => version, "part" => &*fault.part, "field" => fault.field,
+                "value" => &fault.value, "dropped_lines" => dropped);
+        }
         Decision::Evacuation { data_centre, is_out, unconfirmed_ms, told_by } => {
             info!(log, "evacuation changed"; "kind" => kind, "data_centre" => %data_centre,
                 "is_out" => is_out, "unconfirmed_ms" => unconfirmed_ms,
@@ -174,6 +180,7 @@
         Decision::MembersReleased { .. } => "members_released",
         Decision::HeadVerdict { .. } => "head_verdict",
         Decision::Configuration { .. } => "configuration",
+        Decision::ConfigurationFault { .. } => "configuration_fault",
         Decision::Evacuation { .. } => "evacuation",
         Decision::StoreRestored { .. } => "store_restored",
         Decision::ListReturned { .. } => "list_returned",
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -531,7 +531,8 @@
         if let Some(body) = refused.body {
             self.hub.metrics.body_refused(body);
         }
-        let organisation = refused.organisation.as_ref().map(|organisation| &organisation.name);
+        let organisation =
+            refused.organisation.as_ref().and_then(|organisation| organisation.name.as_ref());
         if let Some(dropped) = self.hub.log_limiter.take("request_refused") {
             info!(self.hub.log, "request refused"; "kind" => "request_refused",
                 "request" => id.and_then(|id| id.to_str().ok()),
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -79,7 +79,7 @@
             route: self.route.name.clone(),
             pool: self.pool.clone(),
             model: self.work.model.clone(),
-            organisation: self.organisation.as_ref().map(|o| o.name.clone()),
+            organisation: self.organisation.as_ref().and_then(|o| o.name.clone()),
             segments: self.work.shared_segments.clone(),
             prompt_tokens: self.work.prompt_tokens,
             answer_tokens: self.work.answer_tokens,
@@ -155,7 +155,9 @@
     let route = route(&configuration, &parts)?;
     let organisation = organisation(&configuration, &route, &parts.headers)?;
     let id = parts.headers.get(&dialect.request_id).cloned().ok_or(RequestFailure::Malformed)?;
-    let pool = route.pool(rand::random()).cloned().ok_or(RequestFailure::NoRoute)?;
+    // Only another version of the configuration can change that.
+    let pool = route.pool(rand::random()).cloned();
+    let pool = pool.ok_or(RequestFailure::NotRun { retry_after_ms: NO_CONFIGURATION_RETRY_MS })?;
     let budget_ms = parse_number(&parts.headers, &dialect.time_budget).unwrap_or(route.timeout_ms);
     let time_ms = budget_ms.min(route.timeout_ms);
     let max_bytes = configuration.limits.max_body_bytes;
@@ -224,7 +226,10 @@
     if known.is_none() && configuration.requires_key && !route.is_public {
         return Err(RequestFailure::NoKey);
     }
-    if known.as_ref().is_some_and(|known| header_value(known.name.as_str()).is_none()) {
+    let can_be_told = |known: &Arc<Organisation>| {
+        known.name.as_ref().is_some_and(|name| header_value(name.as_str()).is_some())
+    };
+    if known.as_ref().is_some_and(|known| !can_be_told(known)) {
         // Endpoints cannot be told who the caller is until another version changes the name.
         return Err(RequestFailure::NotRun { retry_after_ms: NO_CONFIGURATION_RETRY_MS });
     }
