Configuration: a split follows weights below one half

Cause: weights were rounded to whole numbers, so all three were zero and the route had no pool, which was answered as a route that does not exist.

Why this works: a weight is kept as the ratio to the largest one, so no positive weight becomes zero, and no sum is beyond a double.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -102,7 +102,7 @@
 }
 
 /// Destination of the requests for a host and path.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Route {
     /// The name, for logs.
     pub name: RouteName,
@@ -120,8 +120,8 @@
     pub gap_target_ms: u64,
     /// The priority; the lowest is served first.
     pub priority: Priority,
-    /// The pools and their weights. Requests are refused if there are none.
-    pub split: Vec<(PoolName, u32)>,
+    /// The pools and their weights, of which the largest is 1. Requests are refused if there are none.
+    pub split: Vec<(PoolName, f64)>,
     /// Maximum number of endpoints that one request is sent to.
     pub max_attempts: u32,
     /// Whether callers need no key.
@@ -230,15 +230,14 @@
 impl Route {
     /// Chooses the pool of a request by weight, if there is one; `draw` is uniform in 0 to 1.
     pub fn pool(&self, draw: f64) -> Option<&PoolName> {
-        let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let total: f64 = self.split.iter().map(|(_, weight)| weight).sum();
         let mut remaining = draw * total;
-        let mut weighted = self.split.iter().filter(|(_, weight)| *weight > 0);
-        for (pool, weight) in weighted.clone() {
-            remaining -= f64::from(*weight);
+        for (pool, weight) in &self.split {
+            remaining -= weight;
             if remaining < 0.0 {
                 return Some(pool);
             }
         }
-        weighted.next_back().map(|(pool, _)| pool)
+        self.split.last().map(|(pool, _)| pool)
     }
 }
