Planner: open no group whose members a late order may take away

Cause: an endpoint rejects an order to join only if its epoch is lower than one that it has seen. A group that an earlier planning node began to form was opened as soon as the list showed it ready, although orders of the terms since, with higher epochs, might still reach its members.

Why this works: the order to open has one condition for all groups: no order to join with a higher epoch may be under way to any member. Members that joined in this term reject all orders of earlier ones, orders of this term are known, and after 12 s none of an earlier term is left. A group that is ready before is formed anew in this term; its head leaves and is fenced first, unless it cannot have been ordered to open. A membership is void by itself, so that ending one group does not hide another, and any member that serves elsewhere counts, not heads alone.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -68,3 +68,10 @@
     /// A member has been lost for too long.
     Broken,
 }
+
+impl MemberState {
+    /// Whether a head in this state has requests, or may get some.
+    pub fn is_serving(self) -> bool {
+        matches!(self, Self::Open | Self::Closing)
+    }
+}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -140,7 +140,6 @@
     started_ms: u64,
     timeout_ms: u64,
     joined: BTreeSet<VmName>,
-    is_opening: bool,
 }
 
 /// The head of a group, as the list showed it.
@@ -148,6 +147,8 @@
 struct ListedHead {
     vm: VmName,
     last_listed_ms: u64,
+    /// When the list first showed that the head could be opened.
+    ready_by_ms: Option<u64>,
     /// When the list first showed that the group had been opened. All orders to join it were sent
     /// before.
     opened_by_ms: Option<u64>,
@@ -185,24 +186,12 @@
     refuses_connections: bool,
     /// Whether the head also left a probe unanswered: live endpoints may fail to answer orders.
     is_head_dead: bool,
-    /// Whether the head may have been opened.
-    may_serve: bool,
     /// Since when other nodes are asked whether the head still serves, and their last verdict.
     doubted: Option<(u64, HeadVerdict)>,
     /// When another member left, after which a head that still serves breaks.
     member_left_ms: Option<u64>,
 }
 
-/// A membership that the list may still show although the group has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Void {
-    /// Memberships up to this epoch are void.
-    epoch: u64,
-    /// The start time and the number of the last heartbeat when the planner next read the list.
-    /// Whatever a later one shows is true.
-    heartbeat: Option<(u64, u64)>,
-}
-
 /// State of the planner that cannot be derived from the list of endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Planner {
@@ -210,14 +199,23 @@
     lease_held_since_ms: u64,
     /// Whether the list was new enough for orders when the planner last ran in this term.
     is_active: bool,
+    /// When the list was first new enough in this term.
+    active_since_ms: Option<u64>,
     last_epoch: u64,
     forming: BTreeMap<GroupName, Forming>,
+    /// Groups that this node ordered to open in this term.
+    opening: BTreeSet<GroupKey>,
     ending: BTreeMap<GroupKey, Ending>,
-    /// Endpoints whose membership is void.
-    void: BTreeMap<VmName, Void>,
+    /// Memberships, by endpoint and epoch, that the list may still show although the group has ended, with
+    /// the start time and the number of the heartbeat that was known when the planner next read the list.
+    /// Whatever a later one shows is true.
+    void: BTreeMap<(VmName, u64), Option<(u64, u64)>>,
     /// Orders to join that the head of a group has not answered, by head and epoch; they may be
     /// carried out late.
     unanswered_joins: BTreeMap<(VmName, u64), u32>,
+    /// The highest epoch of the orders to join that were sent to each endpoint in this term, and when
+    /// the last one was sent.
+    sent_joins: BTreeMap<VmName, (u64, u64)>,
     /// Endpoints that are known to be dead, with the time of the last probe.
     dead: BTreeMap<VmName, u64>,
     /// Endpoints that leave probes unanswered: since when, and the time of the last probe.
@@ -289,6 +287,7 @@
             return None;
         }
         self.is_active = false;
+        self.active_since_ms = None;
         if after.is_some() {
             self.lease_held_since_ms = now_ms;
             self.clear_plans();
@@ -317,10 +316,14 @@
         let head = self.heads.entry(key).or_insert_with(|| ListedHead {
             vm: endpoint.vm.clone(),
             last_listed_ms: now_ms,
+            ready_by_ms: None,
             opened_by_ms: None,
         });
         head.vm.clone_from(&endpoint.vm);
         head.last_listed_ms = now_ms;
+        if membership.state != MemberState::Joining {
+            head.ready_by_ms.get_or_insert(now_ms);
+        }
         if !matches!(membership.state, MemberState::Joining | MemberState::Ready) {
             head.opened_by_ms.get_or_insert(now_ms);
         }
@@ -543,6 +546,9 @@
         let max_age_ms = held_ms.checked_sub(TAKEOVER_DELAY_MS).map(|ms| ms.min(LIST_OUTAGE_MS));
         let is_active =
             list_age_ms.zip(max_age_ms).is_some_and(|(age_ms, max_age_ms)| age_ms <= max_age_ms);
+        if is_active {
+            self.active_since_ms.get_or_insert(view.now_ms);
+        }
         let was_active = std::mem::replace(&mut self.is_active, is_active);
         let decision = Decision::Planning { is_active, held_ms, list_age_ms };
         (was_active != is_active).then_some(Effect::LogDecision(decision))
@@ -551,9 +557,11 @@
     /// Clears plans of an earlier term, which must not be acted on when the node plans again.
     fn clear_plans(&mut self) {
         self.forming.clear();
+        self.opening.clear();
         self.ending.clear();
         self.void.clear();
         self.unanswered_joins.clear();
+        self.sent_joins.clear();
         self.headless_since_ms.clear();
         self.sent.clear();
         self.staging.clear();
@@ -635,9 +643,11 @@
             let size = forming.members.len() as u32;
             let lost = forming.members.iter().find(|vm| !self.is_usable(view, vm));
             let is_taken = |vm: &&VmName| {
-                !forming.joined.contains(*vm) && self.leads_elsewhere(view, &key, vm)
+                !forming.joined.contains(*vm) && self.serves_elsewhere(view, observed, &key, vm)
             };
             let taken = forming.members.iter().find(is_taken);
+            let is_ready = group.is_some_and(|group| group.is_ready(size));
+            let is_fenced = |vm: &VmName| !self.may_be_ordered_away(view.now_ms, vm, key.1);
             let head_state = group.and_then(ObservedGroup::head).map(|head| head.state);
             if head_state == Some(MemberState::Open) {
                 self.forming.remove(&name);
@@ -646,22 +656,27 @@
             } else if lost.is_some()
                 || taken.is_some()
                 || view.now_ms >= forming.started_ms + forming.timeout_ms
+                || is_ready && !forming.members.iter().all(is_fenced)
             {
-                let reason = match (lost, taken) {
-                    (Some(_), _) => "a member was lost",
-                    (None, Some(_)) => "a member leads another group",
-                    (None, None) => "joining failed",
+                let reason = match (lost, taken, is_ready) {
+                    (Some(_), _, _) => "a member was lost",
+                    (None, Some(_), _) => "a member serves in another group",
+                    (None, None, true) => "a late order may move a member",
+                    (None, None, false) => "joining failed",
                 };
                 self.forming.remove(&name);
-                self.end_group(&key, &forming.members, false, reason, effects);
-                let may_serve = forming.is_opening || !self.is_of_this_term(key.1);
-                if let Some(ending) = self.ending.get_mut(&key) {
-                    ending.may_serve = may_serve;
-                }
-            } else if group.is_some_and(|group| group.is_ready(size)) {
-                if let Some(forming) = self.forming.get_mut(&name) {
-                    forming.is_opening = true;
+                self.end_unopened_group(view, &key, &forming.members, reason, effects);
+                if !self.ending.contains_key(&key)
+                    && lost.is_none()
+                    && taken.is_none()
+                    && is_ready
+                    && let Some(model) = formation::model_of(&name, view.engine)
+                {
+                    // They joined the model last, so that joining it again takes a fraction of a second.
+                    allocate::start_group(self, view, model, forming.members, false, effects);
                 }
+            } else if is_ready {
+                self.opening.insert(key.clone());
                 let order = Order::Open { group: name, epoch: key.1 };
                 self.order(view, &forming.members[0], order, effects);
             } else {
@@ -716,31 +731,40 @@
     }
 
     fn is_void_membership(&self, vm: &VmName, epoch: u64) -> bool {
-        self.void.get(vm).is_some_and(|void| epoch <= void.epoch)
+        self.void.contains_key(&(vm.clone(), epoch))
     }
 
-    /// Makes the memberships of an endpoint void up to an epoch.
+    /// Makes the membership of an endpoint in the group of an epoch void. Others, which late orders may
+    /// have led to, are left as the list shows them.
     fn make_void(&mut self, vm: &VmName, epoch: u64) {
-        let epoch = self.void.get(vm).map_or(epoch, |void| epoch.max(void.epoch));
-        self.void.insert(vm.clone(), Void { epoch, heartbeat: None });
+        self.void.insert((vm.clone(), epoch), None);
     }
 
     /// Notes which heartbeats the list shows of endpoints whose membership became void, and forgets
-    /// orders to endpoints that left long ago.
+    /// memberships that no order can bring back and orders to endpoints that left long ago.
     fn update_void(&mut self, view: &View<'_>) {
         let departed = &self.departed;
-        self.unanswered_joins
-            .retain(|(vm, _), _| view.directory.get(vm).is_some() || departed.contains_key(vm));
-        for (vm, void) in self.void.iter_mut().filter(|(_, void)| void.heartbeat.is_none()) {
-            void.heartbeat = Some(view.directory.last_heartbeat(vm).unwrap_or_default());
-        }
+        let is_known = |vm: &VmName| view.directory.get(vm).is_some() || departed.contains_key(vm);
+        self.unanswered_joins.retain(|(vm, _), _| is_known(vm));
+        let ending = &self.ending;
+        self.opening.retain(|key| {
+            self.forming.contains_key(&key.0)
+                || ending.contains_key(key)
+                || self.heads.contains_key(key)
+        });
+        self.sent_joins.retain(|_, (_, sent_ms)| view.now_ms < *sent_ms + LATE_ORDER_MS);
+        self.void.retain(|(vm, epoch), heartbeat| {
+            heartbeat.get_or_insert(view.directory.last_heartbeat(vm).unwrap_or_default());
+            let membership = view.directory.get(vm).and_then(|e| e.membership.as_ref());
+            is_known(vm) && membership.is_none_or(|m| m.epoch <= *epoch)
+        });
     }
 
     /// Whether the list shows that a late order opened a group again that has ended.
     fn is_reopened(&self, view: &View<'_>, key: &GroupKey, group: &ObservedGroup) -> bool {
         let Some(head) = group.head() else { return false };
         let is_open = matches!(head.state, MemberState::Open | MemberState::Closing);
-        let is_reserved = self.forming.values().any(|f| f.members.contains(&head.vm));
+        let is_reserved = self.is_in_forming_group(&head.vm);
         let is_void = self.is_void_membership(&head.vm, key.1);
         is_open && is_void && self.is_listed_since_void(view, &head.vm, key.1) && !is_reserved
     }
@@ -748,9 +772,9 @@
     /// Whether the list shows a heartbeat from after the membership of an endpoint became void, or it
     /// is not void.
     fn is_listed_since_void(&self, view: &View<'_>, vm: &VmName, epoch: u64) -> bool {
-        let Some(void) = self.void.get(vm).filter(|void| epoch <= void.epoch) else { return true };
+        let Some(known) = self.void.get(&(vm.clone(), epoch)) else { return true };
         let listed = view.directory.last_heartbeat(vm);
-        void.heartbeat.is_some_and(|known| listed.is_some_and(|listed| listed > known))
+        known.is_some_and(|known| listed.is_some_and(|listed| listed > known))
     }
 
     /// Whether an order to join may be carried out late and make a head a member again.
@@ -762,23 +786,71 @@
             || !self.is_of_this_term(key.1) && now_ms < self.late_joins_end_ms(key)
     }
 
+    /// Returns when no order of an earlier term can be carried out any more.
+    fn late_orders_end_ms(&self) -> u64 {
+        self.lease_held_since_ms + TAKEOVER_DELAY_MS + LATE_ORDER_MS
+    }
+
     /// Returns when no order of an earlier term to join a group can be carried out any more.
     fn late_joins_end_ms(&self, key: &GroupKey) -> u64 {
-        let taken_over_ms = self.lease_held_since_ms + TAKEOVER_DELAY_MS;
         let opened_by_ms = self.heads.get(key).and_then(|head| head.opened_by_ms);
-        opened_by_ms.map_or(taken_over_ms, |ms| ms.min(taken_over_ms)) + LATE_ORDER_MS
+        let end_ms = self.late_orders_end_ms();
+        opened_by_ms.map_or(end_ms, |opened_ms| end_ms.min(opened_ms + LATE_ORDER_MS))
     }
 
-    /// Whether the list shows that an endpoint leads a group that serves, other than this one.
-    fn leads_elsewhere(&self, view: &View<'_>, key: &GroupKey, vm: &VmName) -> bool {
+    /// Whether an order to join another group, which may still be carried out, has a higher epoch than
+    /// the one that an endpoint followed when it joined its group. The endpoint would follow it too,
+    /// even while its group serves.
+    ///
+    /// An endpoint that joined in this term rejects all orders of earlier ones. Which of those are
+    /// under way is not known: see `docs/incidents/groups-of-earlier-terms.md`.
+    fn may_be_ordered_away(&self, now_ms: u64, vm: &VmName, epoch: u64) -> bool {
+        let is_ordered =
+            |(highest, sent_ms): &(u64, u64)| *highest > epoch && now_ms < *sent_ms + LATE_ORDER_MS;
+        let has_late_orders = !self.is_of_this_term(epoch) && now_ms < self.late_orders_end_ms();
+        has_late_orders || self.sent_joins.get(vm).is_some_and(is_ordered)
+    }
+
+    /// Whether the list shows that an endpoint is a member of a group that serves, other than this one.
+    fn serves_elsewhere(
+        &self,
+        view: &View<'_>,
+        observed: &BTreeMap<GroupKey, ObservedGroup>,
+        key: &GroupKey,
+        vm: &VmName,
+    ) -> bool {
         let membership = view.directory.get(vm).and_then(|e| e.membership.as_ref());
         membership.is_some_and(|m| {
-            let serves = matches!(m.state, MemberState::Open | MemberState::Closing);
-            let is_other = m.group != key.0 || m.epoch != key.1;
-            m.rank == 0 && serves && is_other && self.is_listed_since_void(view, vm, m.epoch)
+            let other = (m.group.clone(), m.epoch);
+            let head = observed.get(&other).and_then(ObservedGroup::head);
+            let serves = head.is_some_and(|head| head.state.is_serving());
+            other != *key && serves && self.is_listed_since_void(view, vm, m.epoch)
         })
     }
 
+    /// Whether an order to open a group may have been sent, so that its head may serve. A head gets it once
+    /// the list shows it ready.
+    ///
+    /// A head that leaves and follows a late order to join is listed as joining again, which only a node
+    /// that has followed the list for as long as orders may be late can tell from the first time.
+    fn may_have_been_opened(&self, view: &View<'_>, key: &GroupKey) -> bool {
+        if self.is_of_this_term(key.1) {
+            return self.opening.contains(key);
+        }
+        let first_read_ms = view.directory.first_read_ms();
+        let has_followed = first_read_ms.is_some_and(|ms| view.now_ms >= ms + LATE_ORDER_MS);
+        let ready_by_ms = self.heads.get(key).and_then(|head| head.ready_by_ms);
+        // What the list showed first in this term, no earlier planning node can have known.
+        let is_known_to_others = ready_by_ms
+            .is_some_and(|ms| self.active_since_ms.is_none_or(|since_ms| ms <= since_ms));
+        !has_followed || is_known_to_others
+    }
+
+    /// Whether an endpoint is a member of a group that is being formed.
+    fn is_in_forming_group(&self, vm: &VmName) -> bool {
+        self.forming.values().any(|forming| forming.members.contains(vm))
+    }
+
     /// Whether an endpoint can be a member of a group.
     fn is_usable(&self, view: &View<'_>, vm: &VmName) -> bool {
         let listed = view.directory.get(vm);
@@ -792,7 +864,7 @@
 
     /// Whether an endpoint may be assigned to a new group.
     fn is_free(&self, view: &View<'_>, endpoint: &Endpoint) -> bool {
-        let is_reserved = self.forming.values().any(|f| f.members.contains(&endpoint.vm))
+        let is_reserved = self.is_in_forming_group(&endpoint.vm)
             || self.ending.values().any(|e| e.members.contains(&endpoint.vm));
         let membership = endpoint.membership.as_ref();
         let is_member = membership.is_some_and(|m| !self.is_void_membership(&endpoint.vm, m.epoch));
@@ -811,10 +883,12 @@
         let departed = self.departed.get(vm).map(|(_, endpoint)| endpoint.address);
         let address = view.directory.get(vm).map(|endpoint| endpoint.address).or(departed);
         let Some(address) = address else { return };
-        if let Order::Join { epoch, members, .. } = &order
-            && members.first() == Some(vm)
-        {
-            *self.unanswered_joins.entry((vm.clone(), *epoch)).or_default() += 1;
+        if let Order::Join { epoch, members, .. } = &order {
+            let sent = self.sent_joins.entry(vm.clone()).or_default();
+            *sent = (sent.0.max(*epoch), view.now_ms);
+            if members.first() == Some(vm) {
+                *self.unanswered_joins.entry((vm.clone(), *epoch)).or_default() += 1;
+            }
         }
         self.sent.insert(sent, view.now_ms);
         effects.push(Effect::Order { vm: vm.clone(), address, order });
--- a/crates/fleet/src/planner/allocate.rs
+++ b/crates/fleet/src/planner/allocate.rs
@@ -340,7 +340,7 @@
     free
 }
 
-fn start_group(
+pub(super) fn start_group(
     planner: &mut Planner,
     view: &View<'_>,
     model: &Model,
@@ -357,7 +357,6 @@
         started_ms: view.now_ms,
         timeout_ms: forming_timeout_ms(model, has_loads),
         joined: Default::default(),
-        is_opening: false,
     };
     planner.forming.insert(name.clone(), forming.clone());
     effects.push(Effect::LogDecision(Decision::GroupForming {
--- a/crates/fleet/src/planner/ending.rs
+++ b/crates/fleet/src/planner/ending.rs
@@ -48,7 +48,6 @@
             unanswered: 0,
             refuses_connections: false,
             is_head_dead: false,
-            may_serve: true,
             doubted: None,
             member_left_ms: None,
         };
@@ -57,6 +56,22 @@
         effects.push(Effect::LogDecision(Decision::GroupDissolving { group, epoch, reason }));
     }
 
+    /// Ends a group that the list does not show as open. If its head was never ordered to open, nothing
+    /// can make it serve, and its members are free at once.
+    pub(super) fn end_unopened_group(
+        &mut self,
+        view: &View<'_>,
+        key: &GroupKey,
+        members: &[VmName],
+        reason: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.end_group(key, members, false, reason, effects);
+        if !self.may_have_been_opened(view, key) {
+            self.release_members(key, "the head was never ordered to open", effects);
+        }
+    }
+
     /// Whether the head of a group may still finish requests although it takes no connections.
     fn may_shut_down(&self, now_ms: u64, ending: &Ending) -> bool {
         let departed = self.departed.get(&ending.head);
@@ -80,21 +95,17 @@
             self.review_doubts(view, &key, effects);
             let Some(ending) = self.ending.get(&key).cloned() else { continue };
             if let Some(evidence) = self.evidence_of_end(view, &key, &ending) {
-                self.release_members(&key);
-                let ((group, epoch), head) = (key, ending.head);
-                let released = Decision::MembersReleased { group, epoch, head, evidence };
-                effects.push(Effect::LogDecision(released));
+                self.release_members(&key, evidence, effects);
                 continue;
             }
             let head = observed.get(&key).and_then(ObservedGroup::head);
-            let still_works = head
-                .is_some_and(|head| matches!(head.state, MemberState::Open | MemberState::Closing));
+            let still_works = head.is_some_and(|head| head.state.is_serving());
             // A head that needs a fence gets it when its members are of use.
             let has_left = self.note_left(view, &key);
             if has_left && !still_works && !self.is_wanted(view, &ending) {
                 continue;
             }
-            if self.fence_head(view, &key, &ending, effects) {
+            if self.fence_head(view, observed, &key, &ending, effects) {
                 continue;
             }
             let is_listed = view.directory.get(&ending.head).is_some();
@@ -142,9 +153,6 @@
         }
         let is_gone = matches!(ending.doubted, Some((_, HeadVerdict::Gone { .. })));
         let breaks_ms = ending.member_left_ms.map(|left_ms| left_ms + HEAD_BREAK_MS);
-        if !ending.may_serve {
-            return Some("the head was never opened");
-        }
         if is_gone && !self.may_shut_down(view.now_ms, ending) {
             return Some("the head answers no node");
         }
@@ -216,8 +224,7 @@
 
     /// Whether late orders may make the head serve the group again after it left.
     fn needs_fence(&self, view: &View<'_>, key: &GroupKey, ending: &Ending) -> bool {
-        ending.may_serve
-            && self.may_rejoin(view.now_ms, key, &ending.head)
+        self.may_rejoin(view.now_ms, key, &ending.head)
             && formation::model_of(&key.0, view.engine).is_some()
     }
 
@@ -266,10 +273,11 @@
     /// opened: from then on it rejects late orders of the old group. Returns whether it did.
     ///
     /// If a late order may have opened the old group again since the head left, the head has to
-    /// leave anew first, as it has to leave any other group that it leads.
+    /// leave anew first, as it has to leave any other group that serves.
     fn fence_head(
         &mut self,
         view: &View<'_>,
+        observed: &BTreeMap<GroupKey, ObservedGroup>,
         key: &GroupKey,
         ending: &Ending,
         effects: &mut Vec<Effect>,
@@ -284,7 +292,7 @@
         }
         if is_too_late
             || !self.has_just_left(view, key, ending, answer)
-            || self.leads_elsewhere(view, key, &ending.head)
+            || self.serves_elsewhere(view, observed, key, &ending.head)
         {
             return false;
         }
@@ -305,11 +313,22 @@
     }
 
     /// Frees the members of a group whose head no longer serves it.
-    pub(super) fn release_members(&mut self, key: &GroupKey) {
-        if let Some(ending) = self.ending.remove(key) {
-            for vm in ending.members {
-                self.make_void(&vm, key.1);
-            }
+    fn release_members(
+        &mut self,
+        key: &GroupKey,
+        evidence: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(ending) = self.ending.remove(key) else { return };
+        for vm in &ending.members {
+            self.make_void(vm, key.1);
         }
+        let ((group, epoch), head) = (key.clone(), ending.head);
+        effects.push(Effect::LogDecision(Decision::MembersReleased {
+            group,
+            epoch,
+            head,
+            evidence,
+        }));
     }
 }
--- a/crates/fleet/src/planner/review.rs
+++ b/crates/fleet/src/planner/review.rs
@@ -7,7 +7,6 @@
 use super::Forming;
 use super::GroupKey;
 use super::HEADLESS_TIMEOUT_MS;
-use super::LATE_ORDER_MS;
 use super::ListedHead;
 use super::Planner;
 use super::View;
@@ -67,30 +66,21 @@
                     self.end_group(key, &members, false, "the group is broken", effects);
                 }
                 MemberState::Joining | MemberState::Ready
-                    if group.is_complete(size) && dead.is_none() && !is_draining =>
+                    if group.is_complete(size)
+                        && dead.is_none()
+                        && !is_draining
+                        && !members.iter().any(|vm| self.is_in_forming_group(vm)) =>
                 {
                     self.adopt(view.now_ms, key, group, model);
                 }
                 MemberState::Joining | MemberState::Ready => {
-                    let may_serve = !self.is_unopened(view, key, head.state);
-                    self.end_group(key, &members, false, "the group is incomplete", effects);
-                    if let Some(ending) = self.ending.get_mut(key) {
-                        ending.may_serve = may_serve;
-                    }
+                    let reason = "the group is incomplete";
+                    self.end_unopened_group(view, key, &members, reason, effects);
                 }
             }
         }
     }
 
-    /// Whether no order to open a group was ever sent: a head gets it once the list shows it ready, and
-    /// a late order to join may take it back to joining only if this node has seen it open before.
-    fn is_unopened(&self, view: &View<'_>, key: &GroupKey, head: MemberState) -> bool {
-        let first_read_ms = view.directory.first_read_ms();
-        let has_followed = first_read_ms.is_some_and(|ms| view.now_ms >= ms + LATE_ORDER_MS);
-        let opened_by_ms = self.heads.get(key).and_then(|head| head.opened_by_ms);
-        head == MemberState::Joining && has_followed && opened_by_ms.is_none()
-    }
-
     /// Fences the heads that left a group of an earlier term while orders to join it may still be
     /// carried out late.
     fn review_free_heads(&mut self, view: &View<'_>, effects: &mut Vec<Effect>) {
@@ -112,7 +102,8 @@
         }
     }
 
-    /// Adopts a group that the previous planning node began to form.
+    /// Adopts a group that an earlier planning node began to form. It is opened only once its members
+    /// cannot be ordered away; see [`Planner::may_be_ordered_away`].
     fn adopt(&mut self, now_ms: u64, key: &GroupKey, group: &ObservedGroup, model: &Model) {
         // The list does not show whether a member that joins is loading.
         let has_loads = group.members.values().any(|m| m.state == MemberState::Joining);
@@ -124,7 +115,6 @@
             members,
             started_ms: now_ms,
             timeout_ms: forming_timeout_ms(model, has_loads),
-            is_opening: false,
         };
         self.forming.insert(key.0.clone(), forming);
     }
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 
 use crate::simulation::AFTER_LEAVE;
+use crate::simulation::STEP_MS;
 use crate::simulation::Simulation;
 use crate::support;
 use crate::support::SMALL;
@@ -214,3 +215,69 @@
     assert!(simulation.serves(&simulation.hosts[&head]), "it serves in another group");
     assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
 }
+
+/// Creates domains of three endpoints, so that one of each is left without a partner. All have weights,
+/// so that the first ones by name are chosen.
+fn pairs_and_one() -> Simulation {
+    let mut simulation = domains_of(3);
+    for host in simulation.hosts.values_mut() {
+        host.entry.staged = vec![simulation.engine.models[0].name.clone()];
+    }
+    simulation
+}
+
+/// Runs until the planner has sent the orders to join that are carried out late.
+fn run_until_late_joins_are_sent(simulation: &mut Simulation) {
+    for _ in 0..100 {
+        if simulation.late_orders.iter().all(|(_, order, _)| *order != "join") {
+            return;
+        }
+        simulation.run(STEP_MS);
+    }
+    panic!("not sent: {:?}", simulation.late_orders);
+}
+
+/// A late order completed a group of the last planner but one, which the next one opened, while an order
+/// of the planner between was on its way to a member (TWO; review/12).
+#[rstest]
+#[case::head("a-00", 3_000, 0)]
+#[case::other_member("a-01", 900, 8)]
+fn a_group_that_a_late_order_may_take_a_member_from_is_not_opened(
+    #[case] late: &str,
+    #[case] late_ms: u64,
+    #[case] unanswered_leaves: usize,
+) {
+    let mut simulation = pairs_and_one();
+    let late = support::vm(late);
+    simulation.late_orders = vec![(late.clone(), "join", late_ms)];
+    run_until_late_joins_are_sent(&mut simulation);
+    simulation.replace_planner();
+    simulation.late_orders = vec![(support::vm("a-00"), "leave", 60_000); unanswered_leaves];
+    simulation.late_orders.push((late.clone(), "join", 7_000));
+    run_until_late_joins_are_sent(&mut simulation);
+    simulation.replace_planner();
+    simulation.run(12_000);
+    assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
+    assert!(simulation.in_serving_group(&late), "{late} serves");
+}
+
+/// Planners are killed one after the other, and endpoints start anew, while half of the orders are
+/// carried out late (TWO).
+#[rstest]
+fn no_member_of_a_serving_group_is_ordered_away_while_planners_are_killed(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut simulation = Simulation::new(seed);
+    simulation.late_ratio = 0.5;
+    for round in 0..12 {
+        simulation.run(2_600);
+        match round % 3 {
+            0 => simulation.restart_data_centre(["a", "b", "c"][round / 3 % 3]),
+            1 => simulation.replace_planner(),
+            _ => simulation.replace_planner_by_follower(),
+        }
+    }
+    simulation.late_ratio = 0.0;
+    simulation.run(14_000);
+    assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
+}
--- a/crates/fleet/tests/fleet/simulation.rs
+++ b/crates/fleet/tests/fleet/simulation.rs
@@ -120,6 +120,7 @@
     /// Before the first request, loads take a tenth of their time.
     pub has_traffic: bool,
     generation: u64,
+    restarts: u32,
     pending: Vec<Pending>,
     /// Late orders that are carried out after the next order to leave.
     held: Vec<Pending>,
@@ -166,6 +167,7 @@
             loads: Vec::new(),
             has_traffic: false,
             generation: 0,
+            restarts: 0,
             pending: Vec::new(),
             held: Vec::new(),
             answers: Vec::new(),
@@ -212,6 +214,25 @@
         }
     }
 
+    /// Ends the endpoints of a data centre; others start in their place, which know nothing of them.
+    pub fn restart_data_centre(&mut self, data_centre: &str) {
+        self.restarts += 1;
+        let data_centre = support::data_centre(data_centre);
+        let is_affected =
+            |host: &&Host| host.entry.data_centre == data_centre && host.liveness == Liveness::Up;
+        let ended: Vec<Endpoint> =
+            self.hosts.values().filter(is_affected).map(|host| host.entry.clone()).collect();
+        for endpoint in ended {
+            self.kill(&endpoint.vm);
+            self.hosts.get_mut(&endpoint.vm).unwrap().is_unlisted = true;
+            let port = endpoint.address.port() + 300;
+            let name = format!("{}-{}", endpoint.vm, self.restarts);
+            let Endpoint { data_centre, domain, .. } = endpoint;
+            let entry = Endpoint { data_centre, domain, ..support::endpoint(&name, port) };
+            self.hosts.insert(entry.vm.clone(), Host::new(entry));
+        }
+    }
+
     /// Cuts a data centre off from the planner and the list, or ends the cut.
     pub fn cut(&mut self, data_centre: &DataCentreName, is_cut: bool) {
         for host in self.hosts.values_mut().filter(|h| h.entry.data_centre == *data_centre) {
@@ -235,6 +256,12 @@
         serving
     }
 
+    /// Whether an endpoint is a member of a group that serves.
+    pub fn in_serving_group(&self, vm: &VmName) -> bool {
+        let is_member = |host: &&Host| host.members.contains(vm) && self.serves(host);
+        self.hosts.values().any(|host| is_member(&host))
+    }
+
     /// Whether a host is the head of an open group whose members are all alive.
     pub fn serves(&self, host: &Host) -> bool {
         let Some(membership) = &host.entry.membership else { return false };
