Planner: fence no endpoint that joined another group in this term

Cause: the order that makes a head reject late orders of an ended group is an order to join with a higher epoch than all before. It was sent once the head had left the old group, also if the head had joined another group since, which served, or was reserved for one.

Why this works: an endpoint that the list shows in a group of a higher epoch rejects orders to join the old one without a fence, and the order to join of a group that is being formed is the fence for its members. Its answer counts for all old groups of the endpoint.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -470,12 +470,14 @@
                 unanswered.remove();
             }
         }
-        let mut ending = self.ending.values_mut();
-        if let Some(ending) = ending.find(|e| e.head == *vm && e.fencing_epoch == Some(epoch)) {
-            // A refusal shows that the endpoint has seen a higher epoch.
-            ending.is_fenced |= matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused);
-            // The next group must not wait for the interval between two orders to join.
-            self.sent.remove(&(vm.clone(), JOIN));
+        // A refusal shows that the endpoint has seen a higher epoch.
+        let has_seen_epoch = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Refused);
+        for (key, ending) in self.ending.iter_mut().filter(|(_, ending)| ending.head == *vm) {
+            ending.is_fenced |= has_seen_epoch && key.1 < epoch;
+            if ending.fencing_epoch == Some(epoch) {
+                // The next group must not wait for the interval between two orders to join.
+                self.sent.remove(&(vm.clone(), JOIN));
+            }
         }
     }
 
--- a/crates/fleet/src/planner/ending.rs
+++ b/crates/fleet/src/planner/ending.rs
@@ -139,6 +139,9 @@
         if ending.is_fenced {
             return Some("the head left and rejects late orders");
         }
+        if self.is_in_later_group(view, key, &ending.head) {
+            return Some("the head is in a later group");
+        }
         if !self.needs_fence(view, key, ending) {
             match ending.leave_answer {
                 Some((_, LeaveAnswer::Accepted)) => return Some("the head left"),
@@ -209,6 +212,13 @@
         })
     }
 
+    /// Whether the list shows an endpoint in a group of a higher epoch: it rejects all orders to join this
+    /// one, so that a fence would only take it out of the other group.
+    fn is_in_later_group(&self, view: &View<'_>, key: &GroupKey, vm: &VmName) -> bool {
+        let membership = view.directory.get(vm).and_then(|e| e.membership.as_ref());
+        membership.is_some_and(|m| m.epoch > key.1)
+    }
+
     fn probe_members(&mut self, view: &View<'_>, ending: &Ending, effects: &mut Vec<Effect>) {
         for vm in &ending.members {
             let departed = self.departed.get(vm).map(|(_, endpoint)| endpoint.address);
@@ -273,7 +283,8 @@
     /// opened: from then on it rejects late orders of the old group. Returns whether it did.
     ///
     /// If a late order may have opened the old group again since the head left, the head has to
-    /// leave anew first, as it has to leave any other group that serves.
+    /// leave anew first, as it has to leave any other group that serves. A group that is being formed
+    /// with the head fences it by its own order to join.
     fn fence_head(
         &mut self,
         view: &View<'_>,
@@ -286,6 +297,9 @@
         if !self.needs_fence(view, key, ending) {
             return false;
         }
+        if self.is_in_forming_group(&ending.head) {
+            return true;
+        }
         let is_too_late = view.now_ms >= sent_ms + REOPEN_MIN_MS;
         if is_too_late && let Some(ending) = self.ending.get_mut(key) {
             ending.leave_answer = None;
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -261,6 +261,28 @@
     assert!(simulation.in_serving_group(&late), "{late} serves");
 }
 
+/// An endpoint was ordered to join a group for a fence, although it had joined another group in the same
+/// term, which served by then (TWO; found in trials for review/12).
+#[test]
+fn an_endpoint_that_joined_in_this_term_is_not_fenced() {
+    let mut simulation = pairs_and_one();
+    let head = support::vm("a-00");
+    simulation.late_orders = vec![(head.clone(), "join", 1_500)];
+    run_until_late_joins_are_sent(&mut simulation);
+    simulation.hosts.get_mut(&support::vm("a-01")).unwrap().entry.is_draining = true;
+    // An endpoint in its cold start is chosen last, and so does not lead the next group.
+    simulation.hosts.get_mut(&head).unwrap().entry.cold_until_ms = u64::MAX;
+    simulation.replace_planner();
+    simulation.late_orders = vec![(head.clone(), "join", 60_000); 2];
+    simulation.late_orders.extend(vec![(head.clone(), "leave", 60_000); 6]);
+    simulation.run(4_000);
+    simulation.add_beside(&head, "a-99");
+    simulation.run(5_000);
+    assert!(simulation.violations.is_empty(), "{:?}", simulation.violations);
+    assert_eq!(simulation.hosts[&head].members(), [support::vm("a-02"), head.clone()]);
+    assert!(simulation.in_serving_group(&head));
+}
+
 /// Planners are killed one after the other, and endpoints start anew, while half of the orders are
 /// carried out late (TWO).
 #[rstest]
