Configuration: a version that leaves no key needs keys

Cause: an absent list of tenants and an empty one were one value, and "keys are needed" was derived from it.

Why this works: `Access` is either open or by key, and only a configuration that does not speak of tenants is decoded as open.

--- a/crates/fleet/benches/placement.rs
+++ b/crates/fleet/benches/placement.rs
@@ -21,6 +21,7 @@
 use balsam_fleet::FleetSettings;
 use balsam_fleet::LoadPolicy;
 use balsam_fleet::Target;
+use balsam_fleet::configuration::Access;
 use balsam_fleet::configuration::CallerLimits;
 use balsam_fleet::configuration::Engine;
 use balsam_fleet::configuration::Model;
@@ -158,8 +159,7 @@
         version: 1,
         routes: HashMap::new(),
         pools: BTreeMap::from([(name, Arc::new(pool))]),
-        organisations: HashMap::new(),
-        requires_key: false,
+        access: Access::Open,
         limits: CallerLimits::default(),
         faults: Vec::new(),
     }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -24,10 +24,8 @@
     pub routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// The pools that routes refer to.
     pub pools: BTreeMap<PoolName, Arc<PoolConfig>>,
-    /// The organisations by caller key.
-    pub organisations: HashMap<Arc<str>, Arc<Organisation>>,
-    /// Whether a request needs a key, unless its route is public.
-    pub requires_key: bool,
+    /// Which requests need a key.
+    pub access: Access,
     /// The limits for callers.
     pub limits: CallerLimits,
     /// The values that could not be understood. Only the parts that need them are not in force.
@@ -45,6 +43,24 @@
     pub value: String,
 }
 
+/// Which requests need a key.
+///
+/// "No keys" and "no key needed" are two things: an empty map of keys used to stand for both. See
+/// `docs/incidents/no-tenants.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Access {
+    /// None: the configuration does not speak of organisations.
+    Open,
+    /// All but those of public routes; the organisations by caller key.
+    ByKey(HashMap<Arc<str>, Arc<Organisation>>),
+}
+
+impl Default for Access {
+    fn default() -> Self {
+        Self::ByKey(HashMap::new())
+    }
+}
+
 /// Limits on the size and duration of callers' requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -223,7 +239,10 @@
 
     /// Finds the organisation of a caller's key.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
-        self.organisations.get(key)
+        match &self.access {
+            Access::Open => None,
+            Access::ByKey(organisations) => organisations.get(key),
+        }
     }
 }
 
--- a/crates/fleet/tests/fleet/restored_configuration.rs
+++ b/crates/fleet/tests/fleet/restored_configuration.rs
@@ -4,6 +4,7 @@
 use balsam_fleet::Event;
 use balsam_fleet::Fleet;
 use balsam_fleet::StorePosition;
+use balsam_fleet::configuration::Access;
 use balsam_fleet::directory::ListChange;
 use balsam_fleet::event::PeerReport;
 use balsam_fleet::operators::OperatorsReport;
@@ -126,8 +127,9 @@
 #[test]
 fn a_version_written_again_with_other_content_replaces_the_lost_one() {
     let mut fleet = starting_node(restored(5));
-    let requires_key = |fleet: &Fleet| fleet.configuration.as_ref().unwrap().requires_key;
-    let version = |version| Configuration { requires_key: true, ..support::configuration(version) };
+    let requires_key = |fleet: &Fleet| fleet.configuration.as_ref().unwrap().access != Access::Open;
+    let version =
+        |version| Configuration { access: Access::default(), ..support::configuration(version) };
     reduce(&mut fleet, STARTED_MS, Event::Configuration(version(3).into()));
     assert!(!requires_key(&fleet));
     reduce(&mut fleet, STARTED_MS, Event::Configuration(version(4).into()));
--- a/crates/fleet/tests/fleet/support.rs
+++ b/crates/fleet/tests/fleet/support.rs
@@ -11,6 +11,7 @@
 use balsam_fleet::Fleet;
 use balsam_fleet::FleetSettings;
 use balsam_fleet::LoadPolicy;
+use balsam_fleet::configuration::Access;
 use balsam_fleet::configuration::CallerLimits;
 use balsam_fleet::configuration::Engine;
 use balsam_fleet::configuration::Model;
@@ -92,8 +93,7 @@
         version,
         routes: HashMap::new(),
         pools: BTreeMap::from([(name, Arc::new(pool)), (plain, Arc::new(ledger))]),
-        organisations: HashMap::new(),
-        requires_key: false,
+        access: Access::Open,
         limits: CallerLimits::default(),
         faults: Vec::new(),
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -7,6 +7,7 @@
 
 use balsam_fleet::Arrival;
 use balsam_fleet::Configuration;
+use balsam_fleet::configuration::Access;
 use balsam_fleet::configuration::Organisation;
 use balsam_fleet::configuration::Route;
 use balsam_fleet::configuration::RouteKind;
@@ -223,7 +224,8 @@
         scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
     });
     let known = key.and_then(|key| configuration.organisation(key)).cloned();
-    if known.is_none() && configuration.requires_key && !route.is_public {
+    let is_open = configuration.access == Access::Open || route.is_public;
+    if known.is_none() && !is_open {
         return Err(RequestFailure::NoKey);
     }
     let can_be_told = |known: &Arc<Organisation>| {
